ingress, loader, platform: a thin path on the users' platform

Cause: the product spoke only to its own stand-ins. Change: platform/ decodes the store, the settings file, server entries and headers; mirror keeps the daemon's view with its age; schedule chooses servers; exchange carries requests over kept connections of one incarnation; ingress and loader are the daemons of the two roles in deploy/system.toml.

--- a/cmd/fuchsiarouterd/main.go
+++ b/cmd/fuchsiarouterd/main.go
@@ -46,10 +46,10 @@
 	return &cli.Command{
 		Name:  "fuchsiarouterd",
 		Usage: "daemon of fuchsiarouter",
-		Commands: []*cli.Command{
+		Commands: append([]*cli.Command{
 			{Name: "entry", Usage: "run on an entry VM", Flags: flags, Action: runEntry},
 			{Name: "agent", Usage: "run in the slot of a backend server VM", Flags: flags, Action: runAgent},
-		},
+		}, platformCommands()...),
 	}
 }
 
--- /dev/null
+++ b/loader/loader.go
@@ -0,0 +1,172 @@
+// Package loader is the daemon in the slot of a backend server VM whose model engine
+// loads versions from pieces that are staged on its machine.
+//
+// A loader brings its engine to the declared version. It learns of versions and of
+// other engines through an entry, takes each piece from an agent near by, or from
+// the origin when no other agent is to have it, verifies it, stages it, reads all
+// staged pieces back, and orders the load. It is the only process that gives orders
+// to its engine. Its verified pieces are served to other loaders.
+package loader
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"go.uber.org/zap"
+
+	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/mirror"
+	"github.com/fuchsiarouter/fuchsiarouter/relay"
+	"github.com/fuchsiarouter/fuchsiarouter/roster"
+	"github.com/fuchsiarouter/fuchsiarouter/tcp"
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
+	"github.com/fuchsiarouter/fuchsiarouter/world"
+)
+
+const (
+	// serversInterval is the time between two reads of the servers at an entry.
+	serversInterval = 700 * time.Millisecond
+	// operatorWait is how long a read at an entry waits for news of the operator.
+	operatorWait = 2 * time.Second
+	// lookInterval is the time between two looks at the engine.
+	lookInterval = 250 * time.Millisecond
+	// rosterInterval is the least time between two reads of the registered entries.
+	rosterInterval = 2 * time.Second
+	// shelves is the number of versions whose pieces are kept for others.
+	shelves = 2
+	// pieceWait bounds how long a loader waits for a piece that another one is fetching.
+	pieceWait = 900 * time.Millisecond
+)
+
+// Settings are what a loader needs to know of its machine.
+type Settings struct {
+	Name             string
+	IP               string
+	AvailabilityZone string
+	Region           string
+	// Engine is the address of the engine on this machine, Service its service.
+	Engine  string
+	Service string
+	// Pieces is the address at which pieces are served; PeerPort is its port, which is
+	// the same on all machines.
+	Pieces   string
+	PeerPort int
+}
+
+// Loader is the daemon.
+type Loader struct {
+	settings Settings
+	registry fuchsiarouter.Registry
+	engine   fuchsiarouter.StagedEngine
+	origin   fuchsiarouter.PieceOrigin
+	mirror   *mirror.Mirror
+	log      *zap.Logger
+	counters counters
+
+	entryHTTP *fasthttp.Client
+	peerHTTP  *fasthttp.Client
+
+	mu       sync.Mutex
+	entries  []roster.Entry
+	readAt   time.Time
+	versions map[string]*shelf
+
+	server *fasthttp.Server
+	wake   chan struct{}
+	stop   chan struct{}
+	done   sync.WaitGroup
+}
+
+// New starts a loader.
+func New(settings Settings, registry fuchsiarouter.Registry, engine fuchsiarouter.StagedEngine,
+	origin fuchsiarouter.PieceOrigin, log *zap.Logger, metrics telemetry.Metrics,
+) (*Loader, error) {
+	l := &Loader{
+		settings: settings, registry: registry, engine: engine, origin: origin, log: log,
+		counters:  newCounters(metrics.Scope),
+		entryHTTP: relay.NewHTTP(), peerHTTP: newPeerHTTP(), versions: map[string]*shelf{},
+		wake: make(chan struct{}, 1), stop: make(chan struct{}),
+	}
+	listener, err := tcp.Listen(settings.Pieces)
+	if err != nil {
+		return nil, errors.Wrap(err, "pieces")
+	}
+	l.server = &fasthttp.Server{
+		Handler: l.handler(metrics), IdleTimeout: 10 * time.Second, ReadTimeout: 10 * time.Second,
+		NoDefaultServerHeader: true, NoDefaultDate: true,
+	}
+	l.done.Go(func() {
+		if err := l.server.Serve(listener); err != nil {
+			log.Error("server of pieces ended", zap.Error(err))
+		}
+	})
+	l.mirror = mirror.New(registry, l.ways, mirror.Settings{OperatorWait: operatorWait, ServersInterval: serversInterval},
+		log, func(*world.View) { l.nudge() })
+	l.done.Go(l.converge)
+	return l, nil
+}
+
+// nudge lets the loader look at its engine at once.
+func (l *Loader) nudge() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// ways are the entries, nearest first, and the store when there is none.
+func (l *Loader) ways() []fuchsiarouter.KeyedTopics {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if time.Since(l.readAt) > rosterInterval && (len(l.entries) == 0 || time.Since(l.readAt) > 5*rosterInterval) {
+		l.readAt = time.Now()
+		if entries, err := readEntries(l.registry, l.settings); err != nil {
+			l.log.Warn("entries not read", zap.Error(err))
+		} else {
+			l.entries = entries
+		}
+	}
+	var ways []fuchsiarouter.KeyedTopics
+	for _, entry := range l.entries {
+		ways = append(ways, relay.NewClient(entry.Peers, l.entryHTTP))
+	}
+	return append(ways, l.registry)
+}
+
+// readEntries reads the registered entries, nearest first.
+func readEntries(registry fuchsiarouter.Registry, settings Settings) ([]roster.Entry, error) {
+	batch, err := registry.Newest(fuchsiarouter.TopicEntries)
+	if err != nil {
+		return nil, err
+	}
+	known := roster.New(roster.Entry{AvailabilityZone: settings.AvailabilityZone, Region: settings.Region})
+	now := time.Now()
+	for _, record := range batch.Records {
+		var entry roster.Entry
+		if json.Unmarshal(record.Value, &entry) == nil && entry.Peers != "" {
+			known.Hear(now, entry)
+		}
+	}
+	return known.Live(now), nil
+}
+
+// Drain ends the daemon. Its pieces are with others, so nothing has to be waited for.
+func (l *Loader) Drain() bool {
+	l.log.Info("leaving")
+	close(l.stop)
+	return true
+}
+
+// peerAddress returns where the loader beside an engine serves pieces.
+func (l *Loader) peerAddress(engine string) string {
+	host, _, err := net.SplitHostPort(engine)
+	if err != nil {
+		return ""
+	}
+	return net.JoinHostPort(host, strconv.Itoa(l.settings.PeerPort))
+}
--- /dev/null
+++ b/mirror/copies.go
@@ -0,0 +1,100 @@
+package mirror
+
+import (
+	"sync"
+	"time"
+
+	"github.com/fuchsiarouter/fuchsiarouter"
+)
+
+// copies keep the newest record of each key, for daemons that read through this one.
+type copies struct {
+	mu     sync.Mutex
+	topics map[fuchsiarouter.Topic]*topicCopy
+}
+
+type topicCopy struct {
+	records map[string]fuchsiarouter.KeyedRecord
+	end     int64
+	// changed is closed when a record comes.
+	changed chan struct{}
+}
+
+func (c *copies) keep(topic fuchsiarouter.Topic, read batch) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.topics == nil {
+		c.topics = map[fuchsiarouter.Topic]*topicCopy{}
+	}
+	kept := c.topics[topic]
+	if kept == nil || read.whole {
+		fresh := &topicCopy{records: map[string]fuchsiarouter.KeyedRecord{}, changed: make(chan struct{})}
+		if kept != nil {
+			close(kept.changed)
+		}
+		kept = fresh
+		c.topics[topic] = kept
+	}
+	for _, record := range read.Records {
+		if record.Key != "" {
+			kept.records[record.Key] = record
+		}
+	}
+	kept.end = read.End
+	if len(read.Records) > 0 && !read.whole {
+		close(kept.changed)
+		kept.changed = make(chan struct{})
+	}
+}
+
+// since returns the newest record of each key from the offset on, and a channel that
+// is closed when there are more.
+func (c *copies) since(topic fuchsiarouter.Topic, from int64, removals bool) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.topics[topic]
+	if kept == nil {
+		return fuchsiarouter.KeyedBatch{}, nil, false
+	}
+	batch := fuchsiarouter.KeyedBatch{End: kept.end}
+	for _, record := range kept.records {
+		if record.Offset >= from && (removals || len(record.Value) > 0) {
+			batch.Records = append(batch.Records, record)
+		}
+	}
+	return batch, kept.changed, true
+}
+
+// Read returns what the mirror has of a topic from the offset on, with its age. It
+// waits up to wait for a first record. It reports false when the mirror has not read
+// the topic yet.
+func (m *Mirror) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, bool) {
+	return m.copy(topic, from, wait, true)
+}
+
+// Newest returns the newest record of every key of a topic, with its age.
+func (m *Mirror) Newest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, bool) {
+	return m.copy(topic, 0, 0, false)
+}
+
+func (m *Mirror) copy(topic fuchsiarouter.Topic, from int64, wait time.Duration, removals bool) (fuchsiarouter.KeyedBatch, bool) {
+	batch, changed, ok := m.copies.since(topic, from, removals)
+	if ok && len(batch.Records) == 0 && wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-changed:
+		case <-timer.C:
+		case <-m.stop:
+		}
+		batch, _, ok = m.copies.since(topic, from, removals)
+	}
+	if topic == fuchsiarouter.TopicServers {
+		batch.Age = m.ServersAge()
+	} else {
+		batch.Age = m.Age()
+	}
+	// An age of 0 means the platform itself.
+	batch.Age = max(batch.Age, time.Nanosecond)
+	return batch, ok
+}
--- /dev/null
+++ b/mirror/mirror.go
@@ -0,0 +1,339 @@
+// Package mirror keeps a daemon's copy of what the platform's registry holds, and
+// knows how old the copy is.
+//
+// Two loops follow the operator's topic and the topic of backend servers. Each
+// begins with the newest record of every key and goes on with the records after
+// it; when records have been removed it begins anew, and never goes back to an
+// older version. A read confirms the copy as of the moment at which the read was
+// sent, on a clock that counts suspensions. Ages go by that moment.
+package mirror
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-faster/errors"
+	"go.uber.org/zap"
+
+	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/boottime"
+	"github.com/fuchsiarouter/fuchsiarouter/world"
+)
+
+const (
+	// operatorWait is the longest time for which a read of the operator's topic
+	// confirms nothing. Three of them fit into the 5 s after which a key that was
+	// taken away must be refused.
+	operatorWait = 1200 * time.Millisecond
+	// serversInterval is the time between two reads of the servers. A leaving server
+	// must get nothing 2 s after it has said so.
+	serversInterval = 400 * time.Millisecond
+	// retryInterval is the pause after a read that failed. At this pace all daemons
+	// together stay far below the rate limit of the store.
+	retryInterval = 250 * time.Millisecond
+	// returnGrace is the time after an outage in which an expired entry of a live
+	// server comes back.
+	returnGrace = 2500 * time.Millisecond
+	// outageAfter is the age of the copy from which removals count as an effect of an
+	// outage, until returnGrace after its end.
+	outageAfter = 2 * time.Second
+)
+
+// Mirror is the copy. Its loops end with Close.
+type Mirror struct {
+	registry fuchsiarouter.Registry
+	ways     Ways
+	log      *zap.Logger
+	settings Settings
+
+	view atomic.Pointer[world.View]
+	// operatorAt and serversAt are the boot times as of which the copy is confirmed.
+	operatorAt atomic.Int64
+	serversAt  atomic.Int64
+
+	mu      sync.Mutex
+	changed func(*world.View)
+
+	copies copies
+
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+// Ways returns the sources from which topics can be read, the preferred one first.
+// After a failure the next one is asked.
+type Ways func() []fuchsiarouter.KeyedTopics
+
+// Settings are the intervals of a mirror. The zero value of a field stands for its
+// default.
+type Settings struct {
+	OperatorWait    time.Duration
+	ServersInterval time.Duration
+}
+
+// New starts a mirror. Changed is called with each new view, one call at a time.
+// The registry decodes the records; the ways are where they are read.
+func New(registry fuchsiarouter.Registry, ways Ways, settings Settings, log *zap.Logger, changed func(*world.View)) *Mirror {
+	if settings.OperatorWait == 0 {
+		settings.OperatorWait = operatorWait
+	}
+	if settings.ServersInterval == 0 {
+		settings.ServersInterval = serversInterval
+	}
+	m := &Mirror{registry: registry, ways: ways, settings: settings, log: log, changed: changed, stop: make(chan struct{})}
+	m.view.Store(&world.View{})
+	m.operatorAt.Store(int64(-time.Hour))
+	m.serversAt.Store(int64(-time.Hour))
+	m.done.Go(func() {
+		m.follow(fuchsiarouter.TopicOperator, settings.OperatorWait, 0, &m.operatorAt, m.applyOperator)
+	})
+	servers := &registrations{mirror: m, known: map[string]*world.Server{}, expired: map[string]time.Duration{}}
+	m.done.Go(func() {
+		m.follow(fuchsiarouter.TopicServers, 0, settings.ServersInterval, &m.serversAt, servers.apply)
+	})
+	return m
+}
+
+// View returns the newest view.
+func (m *Mirror) View() *world.View { return m.view.Load() }
+
+// Age returns how old the copy of the operator's records may be.
+func (m *Mirror) Age() time.Duration { return boottime.Now() - time.Duration(m.operatorAt.Load()) }
+
+// ServersAge returns how old the copy of the servers may be.
+func (m *Mirror) ServersAge() time.Duration {
+	return boottime.Now() - time.Duration(m.serversAt.Load())
+}
+
+// Close ends the loops.
+func (m *Mirror) Close() {
+	close(m.stop)
+	m.done.Wait()
+}
+
+// batch is what one read of a topic gave.
+type batch struct {
+	fuchsiarouter.KeyedBatch
+	// whole is set when the batch has the newest record of every key.
+	whole bool
+	// sent is the boot time at which the read was sent.
+	sent time.Duration
+}
+
+// follow reads a topic until the mirror is closed.
+func (m *Mirror) follow(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(batch)) {
+	next, whole, failing := int64(0), true, false
+	way := 0
+	for {
+		ways := m.ways()
+		way %= len(ways)
+		read, err := m.read(ways[way], topic, next, wait, whole)
+		var expired *fuchsiarouter.ExpiredError
+		switch {
+		case errors.As(err, &expired):
+			m.log.Info("records expired, the topic is read anew", zap.Int("topic", int(topic)),
+				zap.Int64("position", next), zap.Int64("first", expired.First))
+			whole = true
+			continue
+		case err != nil:
+			if !failing {
+				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", way), zap.Error(err))
+			}
+			failing = true
+			way++
+			if !m.sleep(retryInterval) {
+				return
+			}
+			continue
+		}
+		if failing {
+			m.log.Info("registry regained", zap.Int("topic", int(topic)), zap.Int("way", way),
+				zap.Duration("age", boottime.Now()-time.Duration(confirmed.Load())))
+			failing = false
+		}
+		apply(read)
+		next = read.End
+		if at := int64(read.sent - read.Age); at > confirmed.Load() {
+			confirmed.Store(at)
+		}
+		m.copies.keep(topic, read)
+		pause := interval
+		if whole {
+			// The page of newest records is no snapshot; what follows it completes it.
+			pause, whole = 0, false
+		}
+		if !m.sleep(pause) {
+			return
+		}
+	}
+}
+
+func (m *Mirror) read(source fuchsiarouter.KeyedTopics, topic fuchsiarouter.Topic, from int64, wait time.Duration, whole bool) (batch, error) {
+	sent := boottime.Now()
+	var read fuchsiarouter.KeyedBatch
+	var err error
+	if whole {
+		read, err = source.Newest(topic)
+	} else {
+		read, err = source.Read(topic, from, wait)
+		if last := len(read.Records) - 1; err == nil && last >= 0 && read.Age == 0 {
+			// The answer is bounded in size, so it may end before the newest record.
+			read.End = read.Records[last].Offset + 1
+		}
+		if err == nil && read.End < from {
+			return batch{}, &fuchsiarouter.ExpiredError{First: read.End}
+		}
+	}
+	return batch{KeyedBatch: read, whole: whole, sent: sent}, err
+}
+
+func (m *Mirror) sleep(pause time.Duration) bool {
+	if pause == 0 {
+		select {
+		case <-m.stop:
+			return false
+		default:
+			return true
+		}
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-m.stop:
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// update replaces the view by what change makes of it.
+func (m *Mirror) update(change func(*world.View) *world.View) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	before := m.view.Load()
+	after := change(before)
+	if after == before {
+		return
+	}
+	m.view.Store(after)
+	m.changed(after)
+}
+
+func (m *Mirror) applyOperator(read batch) {
+	for _, record := range read.Records {
+		change, err := m.registry.Operator(record)
+		if err != nil {
+			m.log.Warn("operator's record ignored", zap.String("key", record.Key),
+				zap.Int64("offset", record.Offset), zap.Error(err))
+			continue
+		}
+		m.update(func(view *world.View) *world.View {
+			if change.Configuration != nil {
+				view = view.WithConfiguration(change.Configuration)
+			}
+			if change.Model != "" {
+				view = view.WithTarget(change.Model, world.Target{Version: change.Version, Seen: read.sent})
+			}
+			return view
+		})
+		if change.Configuration != nil {
+			m.log.Info("configuration read", zap.Int64("version", change.Configuration.Version),
+				zap.Int64("offset", record.Offset), zap.Int64("in-force", m.View().Configuration.Version))
+		}
+		if change.Model != "" {
+			m.log.Info("weight version declared", zap.String("model", change.Model), zap.Int("version", change.Version))
+		}
+	}
+}
+
+// registrations applies records to the set of servers.
+type registrations struct {
+	mirror *Mirror
+	known  map[string]*world.Server
+	// expired are servers whose entry went around an outage, with the boot time until
+	// which they may come back.
+	expired map[string]time.Duration
+	// outageUntil is the boot time until which removals may come from an outage.
+	outageUntil time.Duration
+}
+
+func (r *registrations) apply(read batch) {
+	now := boottime.Now()
+	if r.mirror.ServersAge() > outageAfter && len(r.known) > 0 {
+		r.outageUntil = now + returnGrace
+	}
+	next := make(map[string]*world.Server, len(r.known))
+	seen := map[string]bool{}
+	if !read.whole {
+		for id, server := range r.known {
+			next[id] = server
+		}
+	}
+	for _, record := range read.Records {
+		if record.Key == "" {
+			continue
+		}
+		seen[record.Key] = true
+		if len(record.Value) == 0 {
+			r.remove(next, record.Key, now)
+			continue
+		}
+		server, err := r.mirror.registry.Server(record)
+		if err != nil {
+			r.mirror.log.Warn("server entry ignored", zap.String("server", record.Key), zap.Error(err))
+			delete(next, record.Key)
+			continue
+		}
+		delete(r.expired, record.Key)
+		next[record.Key] = server
+	}
+	if read.whole {
+		for id, server := range r.known {
+			if !seen[id] && now < r.outageUntil {
+				next[id] = server
+				r.expired[id] = r.outageUntil
+			}
+		}
+	}
+	for id, until := range r.expired {
+		if now >= until {
+			delete(r.expired, id)
+			delete(next, id)
+		}
+	}
+	r.report(next)
+	r.known = next
+	r.mirror.update(func(view *world.View) *world.View {
+		if len(read.Records) == 0 && len(view.Servers) == len(next) {
+			return view
+		}
+		return view.WithServers(next)
+	})
+}
+
+// remove takes a server out, or keeps it for a while when its entry may have
+// expired because the store was away.
+func (r *registrations) remove(next map[string]*world.Server, id string, now time.Duration) {
+	if next[id] == nil || now >= r.outageUntil || next[id].Draining {
+		delete(next, id)
+		return
+	}
+	r.expired[id] = r.outageUntil
+}
+
+// report logs the servers that came, changed or went.
+func (r *registrations) report(next map[string]*world.Server) {
+	for id, server := range next {
+		before := r.known[id]
+		if before == nil || !before.Same(server) || before.Draining != server.Draining {
+			r.mirror.log.Info("server registered", zap.String("server", id), zap.String("address", server.Address),
+				zap.Bool("draining", server.Draining), zap.Any("versions", server.Versions))
+		}
+	}
+	for id := range r.known {
+		if next[id] == nil {
+			r.mirror.log.Info("server gone", zap.String("server", id))
+		}
+	}
+}
--- /dev/null
+++ b/relay/relay.go
@@ -0,0 +1,142 @@
+// Package relay lets a daemon read the platform's topics through an entry.
+//
+// An entry answers from its own copy, with the age of that copy, so that a read
+// costs the platform nothing and works for a daemon that the platform turns away.
+// The age that the reader ends up with counts the time on the way too.
+package relay
+
+import (
+	"encoding/json"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+
+	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/tcp"
+)
+
+const (
+	// margin is added to the wait of a read; entries are a few ms apart.
+	margin = 600 * time.Millisecond
+	// idle is how long a connection between daemons is kept without use.
+	idle = 10 * time.Second
+	// longestWait bounds the wait that an entry grants.
+	longestWait = 5 * time.Second
+
+	recordsPath = "/records"
+)
+
+// recordWire is a record between daemons.
+type recordWire struct {
+	Offset int64  `json:"offset"`
+	Key    string `json:"key"`
+	Value  []byte `json:"value,omitempty"`
+}
+
+// batchWire is the answer to a read.
+type batchWire struct {
+	End     int64         `json:"end"`
+	Age     time.Duration `json:"age-ns"`
+	Records []recordWire  `json:"records"`
+}
+
+// Client reads topics through one entry.
+type Client struct {
+	address string
+	http    *fasthttp.Client
+}
+
+var _ fuchsiarouter.KeyedTopics = (*Client)(nil)
+
+// NewHTTP returns the HTTP client that clients of several entries share.
+func NewHTTP() *fasthttp.Client {
+	return &fasthttp.Client{
+		Dial:                      func(address string) (net.Conn, error) { return tcp.Dial(address, margin) },
+		MaxIdemponentCallAttempts: 1,
+		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
+		MaxIdleConnDuration:       idle,
+		NoDefaultUserAgentHeader:  true,
+	}
+}
+
+// NewClient returns a client of the entry at the address.
+func NewClient(address string, http *fasthttp.Client) *Client {
+	return &Client{address: address, http: http}
+}
+
+// Read implements fuchsiarouter.KeyedTopics.
+func (c *Client) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	return c.get("?topic="+strconv.Itoa(int(topic))+"&from="+strconv.FormatInt(from, 10)+
+		"&wait-ms="+strconv.FormatInt(wait.Milliseconds(), 10), wait)
+}
+
+// Newest implements fuchsiarouter.KeyedTopics.
+func (c *Client) Newest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, error) {
+	return c.get("?topic="+strconv.Itoa(int(topic))+"&newest=1", 0)
+}
+
+func (c *Client) get(query string, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + c.address + recordsPath + query)
+	request.SetTimeout(wait + margin)
+	if err := c.http.Do(request, response); err != nil {
+		return fuchsiarouter.KeyedBatch{}, errors.Wrap(err, "relay")
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return fuchsiarouter.KeyedBatch{}, errors.Errorf("relay: status %d", response.StatusCode())
+	}
+	var wire batchWire
+	if err := json.Unmarshal(response.Body(), &wire); err != nil {
+		return fuchsiarouter.KeyedBatch{}, errors.Wrap(err, "relay")
+	}
+	batch := fuchsiarouter.KeyedBatch{End: wire.End, Age: wire.Age, Records: make([]fuchsiarouter.KeyedRecord, 0, len(wire.Records))}
+	for _, record := range wire.Records {
+		batch.Records = append(batch.Records, fuchsiarouter.KeyedRecord(record))
+	}
+	return batch, nil
+}
+
+// Copy is what an entry has read.
+type Copy interface {
+	Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, bool)
+	Newest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, bool)
+}
+
+// Handler answers the reads of clients from a copy.
+func Handler(copied Copy) fasthttp.RequestHandler {
+	return func(ctx *fasthttp.RequestCtx) {
+		query := ctx.QueryArgs()
+		topic := fuchsiarouter.Topic(query.GetUintOrZero("topic"))
+		var batch fuchsiarouter.KeyedBatch
+		var known bool
+		if string(ctx.Path()) != recordsPath {
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+			return
+		}
+		if query.Has("newest") {
+			batch, known = copied.Newest(topic)
+		} else {
+			wait := min(time.Duration(query.GetUintOrZero("wait-ms"))*time.Millisecond, longestWait)
+			batch, known = copied.Read(topic, int64(query.GetUintOrZero("from")), wait)
+		}
+		if !known {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		wire := batchWire{End: batch.End, Age: batch.Age, Records: make([]recordWire, 0, len(batch.Records))}
+		for _, record := range batch.Records {
+			wire.Records = append(wire.Records, recordWire(record))
+		}
+		body, err := json.Marshal(wire)
+		if err != nil {
+			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+			return
+		}
+		ctx.SetBody(body)
+	}
+}
--- a/result/result.go
+++ b/result/result.go
@@ -64,6 +64,7 @@
 	KeyMalformed     = Code{1008, "key-malformed", 400, RanNo, AgainNo}
 	KeyExpired       = Code{1009, "key-expired", 409, RanMaybe, AgainNo}
 	KeyReused        = Code{1010, "key-reused", 422, RanNo, AgainNo}
+	HeadTooLarge     = Code{1011, "head-too-large", 431, RanNo, AgainNo}
 	RateLimited      = Code{2001, "rate-limited", 429, RanNo, AgainYes}
 	TooMany          = Code{2002, "too-many-in-progress", 429, RanNo, AgainYes}
 	QueueFull        = Code{2003, "queue-full", 503, RanNo, AgainYes}
@@ -89,7 +90,7 @@
 func All() []Code {
 	return []Code{
 		OK, Malformed, Unauthenticated, RankNotAllowed, UnknownModel, UnknownService,
-		BodyTooLarge, KeyRequired, KeyMalformed, KeyExpired, KeyReused, RateLimited, TooMany,
+		BodyTooLarge, KeyRequired, KeyMalformed, KeyExpired, KeyReused, HeadTooLarge, RateLimited, TooMany,
 		QueueFull, Unreachable, NoServer, Leaving, LogUnavailable, VersionNotLoaded,
 		NotReady, Preempted, CallerLeft, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
 		Quarantined, Internal,
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,160 @@
+// Package roster knows which entries there are and which of them callers may use.
+//
+// Each entry registers once at the platform and sends news to the others several
+// times a second. An entry that has not been heard for a while is not named to
+// callers. It is still sent news, at a slow pace, so that two entries that were cut
+// off from each other find together again.
+//
+// A Roster holds no clock, goroutine or lock. It is for one goroutine at a time.
+package roster
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// HeardWithin is the silence after which an entry is left out. News comes every
+	// 150 ms and datagrams get lost.
+	HeardWithin = 900 * time.Millisecond
+	// slowPace is the time between two pieces of news to an entry that is silent.
+	slowPace = time.Second
+	// forgetAfter is the silence after which an entry gets no news. One that comes
+	// back later sends news itself.
+	forgetAfter = 5 * time.Minute
+)
+
+// Entry is an entry as it describes itself.
+type Entry struct {
+	Name string `json:"name"`
+	// Started is the Unix time in ms of the start, which tells incarnations apart.
+	Started int64 `json:"started"`
+	// Peers is the address for the system's own processes, Callers that for callers.
+	Peers            string `json:"peers"`
+	Callers          string `json:"callers"`
+	AvailabilityZone string `json:"availability-zone"`
+	Region           string `json:"region"`
+	// Unavailable is set while the entry can serve nobody.
+	Unavailable bool `json:"unavailable,omitempty"`
+	// Leaving is set from the signal to stop on.
+	Leaving bool `json:"leaving,omitempty"`
+}
+
+// Roster holds the other entries.
+type Roster struct {
+	own     Entry
+	members map[string]*member
+}
+
+type member struct {
+	Entry
+	heard time.Time
+	sent  time.Time
+}
+
+// New returns a roster without other entries.
+func New(own Entry) *Roster { return &Roster{own: own, members: map[string]*member{}} }
+
+// Register adds an entry that is registered at the platform.
+func (r *Roster) Register(now time.Time, entry Entry) {
+	if entry.Peers == r.own.Peers {
+		return
+	}
+	known := r.members[entry.Peers]
+	if known == nil {
+		r.members[entry.Peers] = &member{Entry: entry, heard: now.Add(-HeardWithin)}
+		return
+	}
+	if entry.Started > known.Started {
+		known.Entry = entry
+	}
+}
+
+// Hear takes news of an entry. It reports whether the entry was silent or unknown
+// before.
+func (r *Roster) Hear(now time.Time, entry Entry) bool {
+	if entry.Peers == r.own.Peers {
+		return false
+	}
+	known := r.members[entry.Peers]
+	if known != nil && entry.Started < known.Started {
+		return false
+	}
+	if known == nil {
+		known = &member{}
+		r.members[entry.Peers] = known
+	}
+	fresh := now.Sub(known.heard) >= HeardWithin
+	known.Entry, known.heard = entry, now
+	return fresh
+}
+
+// Silent returns the entries that have become silent since the earlier time.
+func (r *Roster) Silent(before, now time.Time) []Entry {
+	var silent []Entry
+	for _, known := range r.members {
+		end := known.heard.Add(HeardWithin)
+		if end.After(before) && !end.After(now) {
+			silent = append(silent, known.Entry)
+		}
+	}
+	return silent
+}
+
+// Recipients returns the addresses that are due for news.
+func (r *Roster) Recipients(now time.Time) []string {
+	var addresses []string
+	for address, known := range r.members {
+		silence := now.Sub(known.heard)
+		if silence >= forgetAfter {
+			delete(r.members, address)
+			continue
+		}
+		if silence < HeardWithin || now.Sub(known.sent) >= slowPace {
+			known.sent = now
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// Live returns the other entries that were heard lately, nearest first.
+func (r *Roster) Live(now time.Time) []Entry {
+	var live []Entry
+	for _, known := range r.members {
+		if now.Sub(known.heard) < HeardWithin {
+			live = append(live, known.Entry)
+		}
+	}
+	sort.Slice(live, func(i, j int) bool {
+		if a, b := r.distance(live[i]), r.distance(live[j]); a != b {
+			return a < b
+		}
+		return live[i].Peers < live[j].Peers
+	})
+	return live
+}
+
+func (r *Roster) distance(entry Entry) int {
+	switch {
+	case entry.AvailabilityZone == r.own.AvailabilityZone:
+		return 0
+	case entry.Region == r.own.Region:
+		return 1
+	}
+	return 2
+}
+
+// ForCallers returns the addresses that callers may use.
+func (r *Roster) ForCallers(now time.Time, own bool) []string {
+	var addresses []string
+	if own {
+		addresses = append(addresses, r.own.Callers)
+	}
+	for _, entry := range r.Live(now) {
+		if !entry.Leaving && !entry.Unavailable {
+			addresses = append(addresses, entry.Callers)
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/schedule/request.go
@@ -0,0 +1,54 @@
+package schedule
+
+import "time"
+
+// Request is a request that needs a backend server.
+type Request struct {
+	Service string
+	// Rank is the urgency, 0 first.
+	Rank int
+	// Workspace is empty for requests without a key.
+	Workspace string
+	Arrived   time.Time
+	// Target is the time by which the answer should begin, Deadline that at which
+	// the caller stops waiting.
+	Target   time.Time
+	Deadline time.Time
+	// Model names the weights that the request runs on, empty for plain services.
+	Model string
+	// Tried are the servers that the request was sent to before.
+	Tried []string
+	// Granted receives the server of a request that had to wait.
+	Granted func(Grant)
+
+	// place orders waiting requests of one rank.
+	place   uint64
+	waiting bool
+}
+
+// Grant is the decision on a waiting request: a server, or a refusal.
+type Grant struct {
+	// Server is empty for a refusal.
+	Server string
+	// Version is the version of the weights that the server must hold, 0 for any.
+	Version int
+	// RetryAfter is the time after which a refused request may come back.
+	RetryAfter time.Duration
+	// Reason says why a request is refused.
+	Reason Reason
+	// Waited tells whether the request waits; the grant comes by its function.
+	Waited bool
+}
+
+// Reason says why a request is refused.
+type Reason string
+
+// The reasons.
+const (
+	// NoServer means that no server of the service can take the request.
+	NoServer Reason = "no-server"
+	// Overloaded means that the expected wait is longer than the request can bear.
+	Overloaded Reason = "overloaded"
+	// Expired means that the request has waited for too long.
+	Expired Reason = "expired"
+)
