loader: one loop for each source, paced pieces, loads in turns; agents tell entries

Cause: loaders waited at homes for pieces that these did not have yet, uploads filled the links that events share, every engine loaded at the same moment, and entries learned of loaded engines a heartbeat late. Change: a loader asks each source for any of the pieces that it is to give; pieces are paced; a version is finished when most of it is there; the engine is ordered in turns; loaders fetch before their engine is up and announce its state.

--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -68,7 +68,7 @@
 	return runOnPlatform(ctx, c, "loader", func(node *platform.Node, log *zap.Logger, metrics telemetry.Metrics) (drainer, error) {
 		return loader.New(loader.Settings{
 			Name: node.Name, IP: node.IP, AvailabilityZone: node.AvailabilityZone, Region: node.Region,
-			Engine: node.Engine, Service: node.Service,
+			Engine: node.Engine, Service: node.Service, VersionDeadline: node.VersionDeadline, Link: node.Link,
 			Pieces: node.PeerAddress(node.IP, loaderPort), PeerPort: node.FirstPort + loaderPort,
 		}, platform.NewRegistry(node.Registry), platform.NewEngine(node.Engine), platform.NewPieceOrigin(), log, metrics)
 	})
@@ -94,7 +94,7 @@
 	signal.Notify(changed, syscall.SIGHUP)
 	running, err := start(node, log, metrics)
 	if err != nil {
-		log.Error("not started", zap.Error(err))
+		log.Error("not started", telemetry.Cause(err))
 		return err
 	}
 	log.Info("started", zap.String("address", net.JoinHostPort(node.IP, "0")), zap.Int("pid", os.Getpid()),
@@ -119,7 +119,7 @@
 // reloadNode reads the settings file again. Addresses hold until the next start.
 func reloadNode(path string, log *zap.Logger) {
 	if _, err := platform.ReadNode(path); err != nil {
-		log.Warn("settings not reloaded, the old ones stay in use", zap.Error(err))
+		log.Warn("settings not reloaded, the old ones stay in use", telemetry.Cause(err))
 		return
 	}
 	log.Info("settings reloaded")
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -7,6 +7,8 @@
 	"github.com/valyala/fasthttp"
 	"go.uber.org/zap"
 
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
+
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/exchange"
 	"github.com/fuchsiarouter/fuchsiarouter/result"
@@ -79,11 +81,11 @@
 // which the head has arrived.
 func (i *Ingress) send(r *request, lastEvent string) (*sent, *result.Error) {
 	for {
-		server, version, failure := i.acquire(r)
+		server, failure := i.acquire(r)
 		if failure != nil {
 			return nil, failure
 		}
-		accepted, err := i.attempt(r, server, version, lastEvent)
+		accepted, err := i.attempt(r, server, lastEvent)
 		if err == nil && i.isFinal(r, accepted) {
 			return accepted, nil
 		}
@@ -95,7 +97,7 @@
 
 // acquire gets a server for the request, and waits for one when the scheduler says
 // so.
-func (i *Ingress) acquire(r *request) (*world.Server, int, *result.Error) {
+func (i *Ingress) acquire(r *request) (*world.Server, *result.Error) {
 	granted := make(chan schedule.Grant, 1)
 	r.schedule.Granted = func(grant schedule.Grant) { granted <- grant }
 	began := time.Now()
@@ -115,7 +117,7 @@
 					i.released(r, grant.Server, schedule.Left)
 				}
 			}
-			return nil, 0, result.CallerLeft.Error("the caller left while its request waited")
+			return nil, result.CallerLeft.Error("the caller left while its request waited")
 		}
 		r.waited += time.Since(began)
 		i.mu.Lock()
@@ -123,13 +125,13 @@
 		i.mu.Unlock()
 	}
 	if grant.Server == "" {
-		return nil, 0, r.truthful(refusal(grant))
+		return nil, r.truthful(refusal(grant))
 	}
 	if server == nil {
 		i.released(r, grant.Server, schedule.Left)
-		return nil, 0, r.truthful(refusal(schedule.Grant{Reason: schedule.NoServer}))
+		return nil, r.truthful(refusal(schedule.Grant{Reason: schedule.NoServer}))
 	}
-	return server, grant.Version, nil
+	return server, nil
 }
 
 // refusal returns the result of a request that the scheduler refuses.
@@ -154,7 +156,7 @@
 }
 
 // attempt sends the request to a server once.
-func (i *Ingress) attempt(r *request, server *world.Server, version int, lastEvent string) (*sent, error) {
+func (i *Ingress) attempt(r *request, server *world.Server, lastEvent string) (*sent, error) {
 	r.attempts++
 	r.server = server.ID
 	r.schedule.Tried = append(r.schedule.Tried, server.ID)
@@ -166,7 +168,7 @@
 	}
 	head := make([]byte, 0, 1024+len(body))
 	head = i.dialect.AppendHead(head, &r.ctx.Request.Header, fuchsiarouter.Sending{
-		Server: server.ID, Workspace: r.workspace, Wait: left, Urgency: urgency, Version: version,
+		Server: server.ID, Workspace: r.workspace, Wait: left, Urgency: urgency,
 		LastEvent: lastEvent, BodyLength: len(body),
 	})
 	head = append(head, body...)
@@ -221,7 +223,7 @@
 	}
 	i.requests.write("sending failed", []zap.Field{
 		zap.String("request-id", r.ID), zap.String("server", server.ID), zap.Int("status", status),
-		zap.Bool("not-run", notRun), zap.Int("attempt", r.attempts), zap.Error(err),
+		zap.Bool("not-run", notRun), zap.Int("attempt", r.attempts), telemetry.Cause(err),
 	})
 	if outcome == schedule.Left {
 		return failure
--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
 
 const (
@@ -33,7 +35,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := i.callers.ShutdownWithContext(ctx); err != nil {
-		i.log.Warn("requests in progress at the end of the grace", zap.Int64("in-progress", i.inFlight.Load()), zap.Error(err))
+		i.log.Warn("requests in progress at the end of the grace", zap.Int64("in-progress", i.inFlight.Load()), telemetry.Cause(err))
 	}
 	for i.inFlight.Load() > 0 && time.Now().Before(end) {
 		time.Sleep(drainLook)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -50,7 +50,7 @@
 	keyMargin = 600 * time.Millisecond
 	// versionMargin is taken off the time after which no request may begin on an older
 	// version: it may wait at the server for about that long.
-	versionMargin = 2 * time.Second
+	versionMargin = time.Second
 	// resendMargin is the part of the allowed resends that is used; another entry may
 	// count a window that begins at another moment.
 	resendMargin = 0.6
@@ -98,7 +98,8 @@
 	scheduler *schedule.Scheduler
 	resends   map[string]*resendWindow
 	roster    *roster.Roster
-	targets   map[string]world.Target
+	// targets are the declared versions that are not required yet, by model.
+	targets map[string][]world.Target
 
 	peerHTTP *fasthttp.Client
 	socket   *net.UDPConn
@@ -119,7 +120,7 @@
 		settings: settings, dialect: dialect, registry: registry, exchange: exchange.New(), log: log,
 		requests: newRequestLog(log), counters: newCounters(metrics.Scope),
 		scheduler: schedule.New(settings.AvailabilityZone), resends: map[string]*resendWindow{},
-		targets: map[string]world.Target{}, peerHTTP: relay.NewHTTP(), started: time.Now().UnixMilli(),
+		targets: map[string][]world.Target{}, peerHTTP: relay.NewHTTP(), started: time.Now().UnixMilli(),
 		stop: make(chan struct{}),
 	}
 	i.roster = roster.New(i.describe())
@@ -174,7 +175,7 @@
 		i.servers = append(i.servers, one.server)
 		i.done.Go(func() {
 			if err := one.server.Serve(listener); err != nil {
-				i.log.Error("server ended", zap.String("address", one.address), zap.Error(err))
+				i.log.Error("server ended", zap.String("address", one.address), telemetry.Cause(err))
 			}
 		})
 	}
@@ -201,7 +202,12 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.scheduler.SetServers(time.Now(), view.Servers)
-	i.targets = view.Targets
+	for model, target := range view.Targets {
+		known := i.targets[model]
+		if len(known) == 0 || known[len(known)-1].Version < target.Version {
+			i.targets[model] = append(known, target)
+		}
+	}
 }
 
 // tick does what only time decides.
@@ -215,11 +221,7 @@
 			return
 		case now := <-ticker.C:
 			i.mu.Lock()
-			for model, target := range i.targets {
-				if boottime.Now()-target.Seen > i.settings.VersionDeadline-versionMargin {
-					i.scheduler.Require(model, target.Version)
-				}
-			}
+			i.require()
 			i.scheduler.Tick(now)
 			i.mu.Unlock()
 			if now.Sub(swept) > time.Second {
@@ -235,6 +237,18 @@
 	}
 }
 
+// require lets requests begin on a declared version only, once its time has come.
+func (i *Ingress) require() {
+	now := boottime.Now()
+	for model, targets := range i.targets {
+		for _, target := range targets {
+			if now-target.Seen > i.settings.VersionDeadline-versionMargin {
+				i.scheduler.Require(model, target.Version)
+			}
+		}
+	}
+}
+
 // isReady tells whether the entry can serve callers.
 func (i *Ingress) isReady() bool { return !i.leaving.Load() && i.isAvailable() }
 
--- a/ingress/news.go
+++ b/ingress/news.go
@@ -7,6 +7,8 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
+
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/roster"
 )
@@ -24,13 +26,6 @@
 	rosterInterval = 3 * time.Second
 )
 
-// news is what an entry tells the others.
-type news struct {
-	Entry roster.Entry `json:"entry"`
-	// Load holds the number of requests that the entry has at each server.
-	Load map[string]int `json:"load,omitempty"`
-}
-
 // describe returns what this entry says of itself.
 func (i *Ingress) describe() roster.Entry {
 	return roster.Entry{
@@ -69,7 +64,7 @@
 // broadcast sends news to the entries that are due.
 func (i *Ingress) broadcast(now time.Time) {
 	i.mu.Lock()
-	message := news{Entry: i.describe(), Load: i.scheduler.Own()}
+	message := roster.News{Entry: i.describe(), Load: i.scheduler.Own()}
 	recipients := i.roster.Recipients(now)
 	i.mu.Unlock()
 	if len(recipients) == 0 {
@@ -77,13 +72,13 @@
 	}
 	body, err := json.Marshal(message)
 	if err != nil {
-		i.log.Error("news not encoded", zap.Error(err))
+		i.log.Error("news not encoded", telemetry.Cause(err))
 		return
 	}
 	for _, recipient := range recipients {
 		address, err := net.ResolveUDPAddr("udp4", recipient)
 		if err != nil {
-			i.log.Warn("peer ignored", zap.String("peer", recipient), zap.Error(err))
+			i.log.Warn("peer ignored", zap.String("peer", recipient), telemetry.Cause(err))
 			continue
 		}
 		if _, err := i.socket.WriteToUDP(body, address); err != nil {
@@ -106,12 +101,18 @@
 				continue
 			}
 		}
-		var message news
-		if err := json.Unmarshal(buffer[:n], &message); err != nil || message.Entry.Peers == "" {
-			i.log.Warn("news ignored", zap.Int("bytes", n), zap.Error(err))
+		var message roster.News
+		if err := json.Unmarshal(buffer[:n], &message); err != nil || message.Entry.Peers == "" && message.Engine == nil {
+			i.log.Warn("news ignored", zap.Int("bytes", n), telemetry.Cause(err))
 			continue
 		}
 		now := time.Now()
+		if message.Engine != nil {
+			i.mu.Lock()
+			i.scheduler.SetEngine(now, message.Engine.Address, message.Engine.Versions, message.Engine.Loading)
+			i.mu.Unlock()
+			continue
+		}
 		i.mu.Lock()
 		fresh := i.roster.Hear(now, message.Entry)
 		i.scheduler.SetOthers(now, message.Entry.Peers, message.Load)
@@ -127,14 +128,14 @@
 func (i *Ingress) register() {
 	body, err := json.Marshal(i.describe())
 	if err != nil {
-		i.log.Error("registration not encoded", zap.Error(err))
+		i.log.Error("registration not encoded", telemetry.Cause(err))
 		return
 	}
 	registered := false
 	for {
 		if !registered {
 			if err := i.registry.Put(fuchsiarouter.TopicEntries, i.settings.Peers, body); err != nil {
-				i.log.Warn("not registered", zap.Error(err))
+				i.log.Warn("not registered", telemetry.Cause(err))
 			} else {
 				registered = true
 			}
@@ -164,7 +165,7 @@
 func (i *Ingress) readRoster() bool {
 	batch, err := i.registry.Newest(fuchsiarouter.TopicEntries)
 	if err != nil {
-		i.log.Warn("entries not read", zap.Error(err))
+		i.log.Warn("entries not read", telemetry.Cause(err))
 		return false
 	}
 	i.mu.Lock()
@@ -172,7 +173,7 @@
 	for _, record := range batch.Records {
 		var entry roster.Entry
 		if err := json.Unmarshal(record.Value, &entry); err != nil || entry.Peers == "" {
-			i.log.Warn("registration ignored", zap.String("key", record.Key), zap.Error(err))
+			i.log.Warn("registration ignored", zap.String("key", record.Key), telemetry.Cause(err))
 			continue
 		}
 		i.roster.Register(time.Now(), entry)
--- a/loader/converge.go
+++ b/loader/converge.go
@@ -1,20 +1,37 @@
 package loader
 
 import (
+	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/boottime"
 	"github.com/fuchsiarouter/fuchsiarouter/world"
 )
 
-// firstVersion is the version that engines hold before any is declared.
-const firstVersion = 1
+const (
+	// firstVersion is the version that engines hold before any is declared.
+	firstVersion = 1
+	// finishFrom is the progress from which a version is finished although a newer one
+	// is declared: the newer one would come too late for the older one's deadline.
+	finishFrom = 0.6
+	// earliestLoad and latestLoad bound, as parts of the version deadline, when an
+	// engine is ordered to load. An engine that loads takes nothing new until what it
+	// runs has ended, so the engines of a service take turns.
+	earliestLoad = 0.45
+	latestLoad   = 0.9
+	// loadingLook is the time between two looks at an engine that loads.
+	loadingLook = 100 * time.Millisecond
+)
 
-// errOvertaken reports that a newer version was declared meanwhile.
-var errOvertaken = errors.New("a newer version is declared")
+var (
+	errOvertaken = errors.New("a newer version is declared")
+	errStopped   = errors.New("the loader ends")
+	errAbsent    = errors.New("the engine does not report")
+)
 
 // converge brings the engine to the declared version until the loader ends.
 func (l *Loader) converge() {
@@ -27,51 +44,94 @@
 		case <-l.wake:
 		case <-timer.C:
 		}
-		pause := 4 * lookInterval
-		if !l.look() {
-			pause = lookInterval
-		}
-		timer.Reset(pause)
+		timer.Reset(l.look())
 	}
 }
 
-// look compares the engine with what is declared and takes the next step. It reports
-// whether the engine holds the declared version.
-func (l *Loader) look() bool {
+// look compares the engine with what is declared and takes the next step. It returns
+// the time until the next look.
+func (l *Loader) look() time.Duration {
 	view := l.mirror.View()
 	if view.Configuration == nil {
-		return false
+		return lookInterval
 	}
 	service := view.Configuration.Services[l.settings.Service]
 	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
-		return true
+		return 4 * lookInterval
 	}
-	settled := true
+	pause := 4 * lookInterval
 	for _, model := range service.Engine.Models {
 		version := max(view.Targets[model].Version, firstVersion)
 		report, err := l.engine.Report()
 		if err != nil {
-			l.log.Warn("engine does not report", zap.Error(err))
-			return false
+			l.prefetch(view, model, version, service.Engine)
+			return lookInterval
 		}
-		if report.Versions[model] >= version && !report.Busy {
-			l.offer(view, model, report.Versions[model])
-			continue
-		}
-		settled = false
-		if report.Busy {
-			continue
+		l.reported(model, report)
+		switch {
+		case report.Busy:
+			pause = loadingLook
+		case report.Versions[model] < version:
+			pause = lookInterval
+			if err := l.bring(view, model, version, service.Engine); err != nil {
+				l.log.Info("version not loaded", zap.String("model", model), zap.Int("version", version),
+					zap.String("cause", err.Error()))
+				pause = loadingLook
+			}
 		}
-		if err := l.bring(view, model, version, service.Engine); err != nil {
-			l.log.Warn("version not loaded", zap.String("model", model), zap.Int("version", version), zap.Error(err))
+	}
+	return pause
+}
+
+// prefetch fetches a version while the engine has not started yet, if others of its
+// zone have it.
+func (l *Loader) prefetch(view *world.View, model string, version int, engine *world.Engine) {
+	if l.held(model) > 0 {
+		return
+	}
+	_, _, complete := l.plan(view, model, version, func(string) bool { return false })
+	for _, whole := range complete {
+		if whole {
+			shelf, err := l.open(view, model, version, engine)
+			if err == nil {
+				err = l.fill(model, version, shelf)
+			}
+			if err != nil {
+				l.log.Info("version not fetched", zap.Int("version", version), zap.String("cause", err.Error()))
+			}
+			return
 		}
 	}
-	return settled
 }
 
-// overtaken tells whether a newer version than this one is declared.
-func (l *Loader) overtaken(model string, version int) bool {
-	return l.mirror.View().Targets[model].Version > version
+// reported keeps what the engine says of itself, and tells the entries of changes.
+func (l *Loader) reported(model string, report fuchsiarouter.EngineReport) {
+	l.mu.Lock()
+	before := l.engines[model]
+	now := engineState{version: report.Versions[model], loading: report.Busy}
+	l.engines[model] = now
+	if before != now {
+		l.changedAt = time.Now()
+	}
+	l.mu.Unlock()
+	if before != now {
+		l.log.Info("engine state", zap.String("model", model), zap.Int("version", now.version),
+			zap.Bool("loading", now.loading), zap.Int64("orders", report.Orders), zap.Int64("born", report.Born))
+		l.announce()
+	}
+}
+
+// held returns the version that the engine holds.
+func (l *Loader) held(model string) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.engines[model].version
+}
+
+// overtaken tells whether a newer version is declared, and this one is not worth
+// finishing.
+func (l *Loader) overtaken(model string, version int, progress float64) bool {
+	return l.mirror.View().Targets[model].Version > version && progress < finishFrom
 }
 
 // bring fetches and stages a version and orders the engine to load it.
@@ -85,6 +145,12 @@
 		return err
 	}
 	filled := time.Now()
+	if err := l.stage(model, shelf); err != nil {
+		return err
+	}
+	if err := l.awaitTurn(model); err != nil {
+		return err
+	}
 	if err := l.check(model, version, shelf); err != nil {
 		return err
 	}
@@ -95,38 +161,119 @@
 	if report.Busy || report.Versions[model] >= version {
 		return nil
 	}
-	if l.overtaken(model, version) {
-		return errOvertaken
-	}
 	answer, err := l.engine.Start(model, version, report.Orders)
 	if err != nil {
 		return err
 	}
 	l.log.Info("load ordered", zap.String("model", model), zap.Int("version", version), zap.Int("answer", int(answer)),
 		zap.Int("running", report.Running), zap.Duration("fetched-in", filled.Sub(began)),
-		zap.Duration("checked-in", time.Since(filled)))
+		zap.Duration("staged-in", time.Since(filled)))
 	if answer == fuchsiarouter.OrderRefused {
 		return errors.New("the engine refused the order")
 	}
+	if report, err = l.engine.Report(); err == nil {
+		l.reported(model, report)
+	}
 	return nil
 }
 
+// stage writes the pieces beside the engine.
+func (l *Loader) stage(model string, shelf *shelf) error {
+	for piece := range shelf.manifest.Digests {
+		if err := l.engine.Stage(model, piece, shelf.get(piece)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// awaitTurn waits until this engine may load. One that holds no version loads at once.
+func (l *Loader) awaitTurn(model string) error {
+	held := l.held(model)
+	if held == 0 {
+		return nil
+	}
+	for {
+		view := l.mirror.View()
+		due, ok := l.deadline(model, held)
+		if !ok {
+			return nil
+		}
+		rank, count := l.turn(view)
+		span := float64(l.settings.VersionDeadline)
+		opens := due - time.Duration(span*(1-earliestLoad))
+		closes := due - time.Duration(span*(1-latestLoad))
+		now := boottime.Now()
+		turn := opens + time.Duration(float64(closes-opens)*float64(rank)/float64(max(count, 1)))
+		if now >= turn {
+			return nil
+		}
+		select {
+		case <-l.stop:
+			return errStopped
+		case <-time.After(min(turn-now, loadingLook)):
+		}
+	}
+}
+
+// turn returns the place of this engine among those of its service.
+func (l *Loader) turn(view *world.View) (rank, count int) {
+	var ids []string
+	self := ""
+	for id, server := range view.Servers {
+		if server.Service != l.settings.Service {
+			continue
+		}
+		ids = append(ids, id)
+		if server.Address == l.settings.Engine {
+			self = id
+		}
+	}
+	slices.Sort(ids)
+	return max(slices.Index(ids, self), 0), len(ids)
+}
+
 // check reads every staged piece back right before the order: the engine loads what
 // lies there, and staged pieces turn bad.
 func (l *Loader) check(model string, version int, shelf *shelf) error {
 	for piece := range shelf.manifest.Digests {
-		if l.overtaken(model, version) {
-			return errOvertaken
-		}
 		content, err := l.engine.Staged(model, piece)
 		if err == nil && shelf.verify(piece, content) {
 			continue
 		}
 		l.counters.rotten.Inc(1)
-		l.log.Info("staged piece replaced", zap.Int("piece", piece), zap.Int("version", version), zap.Error(err))
-		if err := l.engine.Stage(model, piece, shelf.get(piece, 0)); err != nil {
+		l.log.Info("staged piece replaced", zap.Int("piece", piece), zap.Int("version", version))
+		if err := l.engine.Stage(model, piece, shelf.get(piece)); err != nil {
 			return err
 		}
 	}
 	return nil
 }
+
+// deadline returns the boot time after which no request may begin on the version that
+// the engine holds.
+func (l *Loader) deadline(model string, held int) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	first, found := time.Duration(0), false
+	for version, seen := range l.declared[model] {
+		if version > held && (!found || seen < first) {
+			first, found = seen, true
+		}
+	}
+	return first + l.settings.VersionDeadline, found
+}
+
+// note remembers when each version was declared.
+func (l *Loader) note(view *world.View) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for model, target := range view.Targets {
+		if l.declared[model] == nil {
+			l.declared[model] = map[int]time.Duration{}
+		}
+		if _, known := l.declared[model][target.Version]; !known {
+			l.declared[model][target.Version] = target.Seen
+		}
+	}
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -39,8 +39,6 @@
 	rosterInterval = 2 * time.Second
 	// shelves is the number of versions whose pieces are kept for others.
 	shelves = 2
-	// pieceWait bounds how long a loader waits for a piece that another one is fetching.
-	pieceWait = 900 * time.Millisecond
 )
 
 // Settings are what a loader needs to know of its machine.
@@ -52,6 +50,11 @@
 	// Engine is the address of the engine on this machine, Service its service.
 	Engine  string
 	Service string
+	// VersionDeadline is the time after the declaration of a version from which no
+	// request may begin on an older one.
+	VersionDeadline time.Duration
+	// Link is the bandwidth of the machine in bytes a second.
+	Link float64
 	// Pieces is the address at which pieces are served; PeerPort is its port, which is
 	// the same on all machines.
 	Pieces   string
@@ -75,6 +78,12 @@
 	entries  []roster.Entry
 	readAt   time.Time
 	versions map[string]*shelf
+	// engines is the state of the engine by model, changedAt the time of its last change.
+	engines   map[string]engineState
+	changedAt time.Time
+	// declared holds the boot times at which versions were declared.
+	declared map[string]map[int]time.Duration
+	pacer    pacer
 
 	server *fasthttp.Server
 	wake   chan struct{}
@@ -90,7 +99,9 @@
 		settings: settings, registry: registry, engine: engine, origin: origin, log: log,
 		counters:  newCounters(metrics.Scope),
 		entryHTTP: relay.NewHTTP(), peerHTTP: newPeerHTTP(), versions: map[string]*shelf{},
-		wake: make(chan struct{}, 1), stop: make(chan struct{}),
+		engines: map[string]engineState{}, declared: map[string]map[int]time.Duration{},
+		pacer: pacer{rate: max(settings.Link*linkShare, leastRate)},
+		wake:  make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 	listener, err := tcp.Listen(settings.Pieces)
 	if err != nil {
@@ -102,15 +113,28 @@
 	}
 	l.done.Go(func() {
 		if err := l.server.Serve(listener); err != nil {
-			log.Error("server of pieces ended", zap.Error(err))
+			log.Error("server of pieces ended", telemetry.Cause(err))
 		}
 	})
 	l.mirror = mirror.New(registry, l.ways, mirror.Settings{OperatorWait: operatorWait, ServersInterval: serversInterval},
-		log, func(*world.View) { l.nudge() })
+		log, func(view *world.View) {
+			l.note(view)
+			l.nudge()
+		})
 	l.done.Go(l.converge)
+	l.done.Go(l.repeatAnnouncements)
 	return l, nil
 }
 
+// leastRate is the rate of pieces on a machine that names no bandwidth.
+const leastRate = 100 << 10
+
+// engineState is what the entries are told of the engine.
+type engineState struct {
+	version int
+	loading bool
+}
+
 // nudge lets the loader look at its engine at once.
 func (l *Loader) nudge() {
 	select {
@@ -126,7 +150,7 @@
 	if time.Since(l.readAt) > rosterInterval && (len(l.entries) == 0 || time.Since(l.readAt) > 5*rosterInterval) {
 		l.readAt = time.Now()
 		if entries, err := readEntries(l.registry, l.settings); err != nil {
-			l.log.Warn("entries not read", zap.Error(err))
+			l.log.Warn("entries not read", telemetry.Cause(err))
 		} else {
 			l.entries = entries
 		}
--- /dev/null
+++ b/loader/serve.go
@@ -0,0 +1,182 @@
+package loader
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/json"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
+	"github.com/valyala/fasthttp/fasthttpadaptor"
+
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
+)
+
+const (
+	piecePath    = "/piece"
+	manifestPath = "/manifest"
+	// pieceWait bounds how long a loader waits for a piece that another one is fetching.
+	pieceWait = 700 * time.Millisecond
+	// pieceTimeout bounds a piece beyond the wait for it. A piece takes 27 ms on an
+	// agent's link, and as many loaders as a zone has ask at once.
+	pieceTimeout = 1500 * time.Millisecond
+	// linkShare is the part of the link that pieces may use. Events of the engine share
+	// the link and may be late by 120 ms at most.
+	linkShare = 0.85
+	// pieceHeader is the length of the number before the content of a piece.
+	pieceHeader = 4
+	// wantedLimit bounds the pieces that a request names.
+	wantedLimit = 4096
+)
+
+// pacer spreads what is sent over time, one piece at a time.
+type pacer struct {
+	mu sync.Mutex
+	// rate is in bytes a second.
+	rate float64
+	free time.Time
+}
+
+// wait returns when so many bytes may be sent.
+func (p *pacer) wait(size int) {
+	p.mu.Lock()
+	now := time.Now()
+	at := p.free
+	if at.Before(now) {
+		at = now
+	}
+	p.free = at.Add(time.Duration(float64(size) / p.rate * float64(time.Second)))
+	p.mu.Unlock()
+	time.Sleep(at.Sub(now))
+}
+
+// handler serves pieces and manifests to other loaders, and the metrics page.
+func (l *Loader) handler(metrics telemetry.Metrics) fasthttp.RequestHandler {
+	page := fasthttpadaptor.NewFastHTTPHandler(http.HandlerFunc(metrics.Handler.ServeHTTP))
+	return func(ctx *fasthttp.RequestCtx) {
+		query := ctx.QueryArgs()
+		model, version := string(query.Peek("model")), query.GetUintOrZero("version")
+		switch string(ctx.Path()) {
+		case "/metrics":
+			page(ctx)
+		case manifestPath:
+			l.serveManifest(ctx, model, version)
+		case piecePath:
+			l.servePiece(ctx, model, version, parseWanted(string(query.Peek("wanted"))))
+		default:
+			ctx.SetStatusCode(fasthttp.StatusNotFound)
+		}
+	}
+}
+
+func (l *Loader) serveManifest(ctx *fasthttp.RequestCtx, model string, version int) {
+	known := l.shelf(model, version)
+	if known == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
+	body, err := json.Marshal(known.manifest)
+	if err != nil {
+		ctx.SetStatusCode(fasthttp.StatusInternalServerError)
+		return
+	}
+	ctx.SetBody(body)
+}
+
+// servePiece answers with one of the wanted pieces, or with no content when none came
+// in time.
+func (l *Loader) servePiece(ctx *fasthttp.RequestCtx, model string, version int, wanted []int) {
+	piece, content := l.piece(model, version, wanted)
+	if piece < 0 {
+		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		return
+	}
+	l.pacer.wait(len(content))
+	l.counters.served.Inc(1)
+	body := binary.BigEndian.AppendUint32(make([]byte, 0, pieceHeader+len(content)), uint32(piece))
+	ctx.Response.SetBodyRaw(append(body, content...))
+}
+
+// piece returns one of the wanted pieces, verified where the digests are known. What
+// the engine has staged is read back.
+func (l *Loader) piece(model string, version int, wanted []int) (int, []byte) {
+	if len(wanted) == 0 {
+		return -1, nil
+	}
+	end := time.Now().Add(pieceWait)
+	known := l.shelf(model, version)
+	for known == nil && l.held(model) != version && time.Now().Before(end) {
+		// The version may just have been declared.
+		time.Sleep(shelfLook)
+		known = l.shelf(model, version)
+	}
+	if known != nil {
+		for _, piece := range wanted {
+			if content := known.get(piece); content != nil {
+				return piece, content
+			}
+		}
+	}
+	if l.held(model) == version {
+		if content, err := l.engine.Staged(model, wanted[0]); err == nil && (known == nil || known.verify(wanted[0], content)) {
+			return wanted[0], content
+		}
+	}
+	if known == nil {
+		return -1, nil
+	}
+	return known.await(wanted, time.Until(end))
+}
+
+// shelfLook is the time between two looks for a version that is not known yet.
+const shelfLook = 40 * time.Millisecond
+
+func parseWanted(list string) []int {
+	var wanted []int
+	for text := range strings.SplitSeq(list, ",") {
+		if piece, err := strconv.Atoi(text); err == nil && len(wanted) < wantedLimit {
+			wanted = append(wanted, piece)
+		}
+	}
+	return wanted
+}
+
+// ask asks another loader for one of the pieces. The piece is negative when it has
+// none of them yet.
+func (l *Loader) ask(address, model string, version int, wanted []int) (int, []byte, error) {
+	var list strings.Builder
+	for i, piece := range wanted {
+		if i > 0 {
+			list.WriteByte(',')
+		}
+		list.WriteString(strconv.Itoa(piece))
+	}
+	status, body, err := l.get(address, piecePath, model, version, "&wanted="+list.String())
+	switch {
+	case err != nil:
+		return 0, nil, err
+	case status == fasthttp.StatusNoContent:
+		return -1, nil, nil
+	case status != fasthttp.StatusOK || len(body) < pieceHeader:
+		return 0, nil, errors.Errorf("peer: status %d, %d bytes", status, len(body))
+	}
+	return int(binary.BigEndian.Uint32(body)), body[pieceHeader:], nil
+}
+
+func (l *Loader) get(address, path, model string, version int, query string) (int, []byte, error) {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path + "?model=" + url.QueryEscape(model) + "&version=" + strconv.Itoa(version) + query)
+	request.SetTimeout(pieceWait + pieceTimeout)
+	if err := l.peerHTTP.Do(request, response); err != nil {
+		return 0, nil, errors.Wrap(err, "peer")
+	}
+	return response.StatusCode(), bytes.Clone(response.Body()), nil
+}
--- a/loader/shelf.go
+++ b/loader/shelf.go
@@ -47,27 +47,36 @@
 	return true
 }
 
-// get returns a piece, and waits for it up to wait.
-func (s *shelf) get(piece int, wait time.Duration) []byte {
+// get returns a piece, or nil.
+func (s *shelf) get(piece int) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if piece < 0 || piece >= len(s.pieces) {
 		return nil
 	}
-	var timer *time.Timer
+	return s.pieces[piece]
+}
+
+// await returns the first of the wanted pieces that is there, and waits for one up to
+// wait. The piece is negative when none comes.
+func (s *shelf) await(wanted []int, wait time.Duration) (int, []byte) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
 	for {
 		s.mu.Lock()
-		content, changed := s.pieces[piece], s.changed
-		s.mu.Unlock()
-		if content != nil || wait <= 0 {
-			return content
-		}
-		if timer == nil {
-			timer = time.NewTimer(wait)
-			defer timer.Stop()
+		changed := s.changed
+		for _, piece := range wanted {
+			if piece >= 0 && piece < len(s.pieces) && s.pieces[piece] != nil {
+				content := s.pieces[piece]
+				s.mu.Unlock()
+				return piece, content
+			}
 		}
+		s.mu.Unlock()
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil
+			return -1, nil
 		}
 	}
 }
@@ -84,3 +93,10 @@
 	}
 	return missing
 }
+
+// progress is the part of the pieces that are there.
+func (s *shelf) progress() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return 1 - float64(s.missing)/float64(max(len(s.pieces), 1))
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -16,6 +16,8 @@
 	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
+
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
 	"github.com/fuchsiarouter/fuchsiarouter/world"
@@ -138,7 +140,7 @@
 			continue
 		case err != nil:
 			if !failing {
-				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", way), zap.Error(err))
+				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", way), telemetry.Cause(err))
 			}
 			failing = true
 			way++
@@ -225,7 +227,7 @@
 		change, err := m.registry.Operator(record)
 		if err != nil {
 			m.log.Warn("operator's record ignored", zap.String("key", record.Key),
-				zap.Int64("offset", record.Offset), zap.Error(err))
+				zap.Int64("offset", record.Offset), telemetry.Cause(err))
 			continue
 		}
 		m.update(func(view *world.View) *world.View {
@@ -281,7 +283,7 @@
 		}
 		server, err := r.mirror.registry.Server(record)
 		if err != nil {
-			r.mirror.log.Warn("server entry ignored", zap.String("server", record.Key), zap.Error(err))
+			r.mirror.log.Warn("server entry ignored", zap.String("server", record.Key), telemetry.Cause(err))
 			delete(next, record.Key)
 			continue
 		}
--- /dev/null
+++ b/roster/news.go
@@ -0,0 +1,20 @@
+package roster
+
+// News is what daemons tell entries several times a second.
+type News struct {
+	// Entry is set in the news of an entry.
+	Entry Entry `json:"entry"`
+	// Load holds the number of requests that the entry has at each server.
+	Load map[string]int `json:"load,omitempty"`
+	// Engine is set in the news of an agent.
+	Engine *Engine `json:"engine,omitempty"`
+}
+
+// Engine is the state of a model engine as the agent beside it sees it.
+type Engine struct {
+	Address string `json:"address"`
+	// Versions are the versions that it holds whole, by model.
+	Versions map[string]int `json:"versions"`
+	// Loading is set while it takes nothing new.
+	Loading bool `json:"loading,omitempty"`
+}
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -30,8 +30,6 @@
 type Grant struct {
 	// Server is empty for a refusal.
 	Server string
-	// Version is the version of the weights that the server must hold, 0 for any.
-	Version int
 	// RetryAfter is the time after which a refused request may come back.
 	RetryAfter time.Duration
 	// Reason says why a request is refused.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -36,6 +36,12 @@
 	// running it, twice as long for each further failure in a row.
 	ejection     = 300 * time.Millisecond
 	ejectionMost = 4 * time.Second
+	// aheadFor is how long the word of an agent goes before a registration. Agents
+	// repeat it for 2.5 s, and registrations follow within a heartbeat of 1.2 s.
+	aheadFor = 1500 * time.Millisecond
+	// loadingPenalty is the load at which a server that is loading weights, and takes
+	// nothing new for about a second, is preferred.
+	loadingPenalty = 2.0
 	// retryLeast and retryMost bound the time after which a refused request may come
 	// back.
 	retryLeast = 100 * time.Millisecond
@@ -70,6 +76,11 @@
 	// failures counts the sendings in a row that the server refused or failed.
 	failures int
 	until    time.Time
+	// ahead is what the agent beside the server says of it, which is newer than its
+	// registration until aheadUntil.
+	ahead      map[string]int
+	loading    bool
+	aheadUntil time.Time
 }
 
 // New returns a scheduler for an entry in the availability zone.
@@ -114,6 +125,17 @@
 	return group
 }
 
+// SetEngine takes what the agent beside a server says of it. It holds for a while, in
+// which the server's registration follows.
+func (s *Scheduler) SetEngine(now time.Time, address string, versions map[string]int, loading bool) {
+	for _, known := range s.servers {
+		if known.Address == address {
+			known.ahead, known.loading, known.aheadUntil = versions, loading, now.Add(aheadFor)
+			s.fill(now, s.group(known.Service))
+		}
+	}
+}
+
 // Require sets the version of a model on which requests must begin from now on.
 func (s *Scheduler) Require(model string, version int) { s.required[model] = version }
 
@@ -147,9 +169,9 @@
 	group := s.group(request.Service)
 	if chosen := s.choose(now, group, request); chosen != nil {
 		chosen.own++
-		return Grant{Server: chosen.ID, Version: s.required[request.Model]}
+		return Grant{Server: chosen.ID}
 	}
-	if !s.possible(group, request) {
+	if !s.possible(now, group, request) {
 		return Grant{Reason: NoServer, RetryAfter: retryMost / 4}
 	}
 	wait := group.wait(now, request)
@@ -196,7 +218,7 @@
 	least := 0.0
 	ties := 0
 	for _, candidate := range group.servers {
-		if !candidate.fits(request, version) || now.Before(candidate.until) {
+		if !candidate.fits(now, request, version) || now.Before(candidate.until) {
 			continue
 		}
 		load := candidate.load()
@@ -206,6 +228,9 @@
 		if candidate.AvailabilityZone != s.zone {
 			load += zonePenalty
 		}
+		if candidate.loading && now.Before(candidate.aheadUntil) {
+			load += loadingPenalty
+		}
 		switch {
 		case best == nil || load < least-1e-9:
 			best, least, ties = candidate, load, 1
@@ -220,9 +245,9 @@
 }
 
 // possible tells whether any server could take the request, now or later.
-func (s *Scheduler) possible(group *service, request *Request) bool {
+func (s *Scheduler) possible(now time.Time, group *service, request *Request) bool {
 	for _, candidate := range group.servers {
-		if candidate.fits(request, 0) {
+		if candidate.fits(now, request, 0) {
 			return true
 		}
 	}
@@ -230,7 +255,7 @@
 }
 
 // fits tells whether the server may run the request.
-func (s *server) fits(request *Request, version int) bool {
+func (s *server) fits(now time.Time, request *Request, version int) bool {
 	if s.Draining || slices.Contains(request.Tried, s.ID) {
 		return false
 	}
@@ -238,6 +263,9 @@
 		return true
 	}
 	held := s.Versions[request.Model]
+	if now.Before(s.aheadUntil) {
+		held = s.ahead[request.Model]
+	}
 	return held > 0 && held >= version
 }
 
@@ -342,7 +370,7 @@
 		chosen.own++
 		group.waiting = slices.Delete(group.waiting, i, i+1)
 		request.waiting = false
-		request.Granted(Grant{Server: chosen.ID, Version: s.required[request.Model]})
+		request.Granted(Grant{Server: chosen.ID})
 	}
 }
 
--- a/telemetry/bounded.go
+++ b/telemetry/bounded.go
@@ -82,3 +82,11 @@
 	}
 	_, _ = out.Write(line)
 }
+
+// Cause returns the field of an error, without the places that it passed.
+func Cause(err error) zap.Field {
+	if err == nil {
+		return zap.Skip()
+	}
+	return zap.String("cause", err.Error())
+}
