--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -30,6 +30,7 @@
 	if kept == nil || read.whole {
 		fresh := &topicCopy{records: map[string]fuchsiarouter.KeyedRecord{}, changed: make(chan struct{})}
 		if kept != nil {
+			fresh.remove(kept, read)
 			close(kept.changed)
 		}
 		kept = fresh
@@ -47,6 +48,16 @@
 	}
 }
 
+// remove notes the removal of the keys that a fresh copy lacks, for readers that have
+// read the older one.
+func (c *topicCopy) remove(older *topicCopy, read batch) {
+	for key, record := range older.records {
+		if len(record.Value) > 0 {
+			c.records[key] = fuchsiarouter.KeyedRecord{Key: key, Offset: max(read.End-1, 0)}
+		}
+	}
+}
+
 // since returns the newest record of each key from the offset on, and a channel that
 // is closed when there are more.
 func (c *copies) since(topic fuchsiarouter.Topic, from int64, removals bool) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -42,6 +42,9 @@
 	outageAfter = 2 * time.Second
 )
 
+// errStale reports a copy of another daemon that is no newer than the own one.
+var errStale = errors.New("the copy is no newer than the own one")
+
 // Mirror is the copy. Its loops end with Close.
 type Mirror struct {
 	registry fuchsiarouter.Registry
@@ -126,11 +129,18 @@
 // follow reads a topic until the mirror is closed.
 func (m *Mirror) follow(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(batch)) {
 	next, whole, failing := int64(0), true, false
-	way := 0
+	path := path{}
 	for {
 		ways := m.ways()
-		way %= len(ways)
-		read, err := m.read(ways[way], topic, next, wait, whole)
+		way, probing := path.choose(time.Now(), len(ways))
+		asked := wait
+		if probing {
+			asked = 0
+		}
+		read, err := m.read(ways[way], topic, next, asked, whole)
+		if err == nil && read.Age > 0 && int64(read.sent-read.Age) <= confirmed.Load() {
+			err = errStale
+		}
 		var expired *fuchsiarouter.ExpiredError
 		switch {
 		case errors.As(err, &expired):
@@ -143,17 +153,18 @@
 				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", way), telemetry.Cause(err))
 			}
 			failing = true
-			way++
+			path.failed(time.Now(), way)
 			if !m.sleep(retryInterval) {
 				return
 			}
 			continue
 		}
-		if failing {
+		if failing || path.changed(way) {
 			m.log.Info("registry regained", zap.Int("topic", int(topic)), zap.Int("way", way),
 				zap.Duration("age", boottime.Now()-time.Duration(confirmed.Load())))
 			failing = false
 		}
+		path.worked(way)
 		apply(read)
 		next = read.End
 		if at := int64(read.sent - read.Age); at > confirmed.Load() {
