ingress: take requests back before a version's deadline; take none 3 s after SIGTERM

Ruled out: a lagging registration; the engines held what they had registered. Change: a request without a first event is taken back 200 ms before the deadline; a declared version counts from the arrival of a long poll's answer; requests are taken for 3 s after SIGTERM.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -1,6 +1,7 @@
 package ingress
 
 import (
+	"context"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -172,7 +173,16 @@
 		LastEvent: lastEvent, BodyLength: len(body),
 	})
 	head = append(head, body...)
-	answer, err := i.exchange.Send(r.left, exchange.Target{Address: server.Address, ID: server.ID, Born: server.Born},
+	begin := r.left
+	if r.schedule.Model != "" {
+		if wait, bounded := i.beginBy(server.ID, r.schedule.Model); bounded {
+			var cancel context.CancelFunc
+			begin, cancel = context.WithCancel(r.left)
+			timer := time.AfterFunc(max(wait, 0), cancel)
+			defer timer.Stop()
+		}
+	}
+	answer, err := i.exchange.Send(begin, exchange.Target{Address: server.Address, ID: server.ID, Born: server.Born},
 		head, r.deadline, func(header *fasthttp.ResponseHeader) bool { return i.dialect.Reply(header, r.ID).Mine })
 	if err != nil {
 		return nil, err
--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -10,9 +10,11 @@
 )
 
 const (
-	// drainListen is the part of the grace for which new connections are accepted:
-	// callers keep addresses for a while.
-	drainListen = 0.6
+	// drainAccept is the longest time for which requests are accepted after the signal
+	// to stop: callers keep addresses for some seconds. drainShare bounds it as a part
+	// of the grace; a long stream takes the rest.
+	drainAccept = 3 * time.Second
+	drainShare  = 0.37
 	// drainMargin is kept before the process is killed.
 	drainMargin = 900 * time.Millisecond
 	// drainLook is the time between two looks at the requests in progress.
@@ -27,10 +29,9 @@
 	i.leaving.Store(true)
 	i.log.Info("leaving", zap.Int64("in-progress", i.inFlight.Load()))
 	i.broadcast(began)
-	listen := began.Add(time.Duration(float64(i.settings.StopGrace) * drainListen))
-	for time.Now().Before(listen) {
-		time.Sleep(drainLook)
-	}
+	accept := min(drainAccept, time.Duration(float64(i.settings.StopGrace)*drainShare))
+	time.Sleep(accept)
+	i.closed.Store(true)
 	end := began.Add(i.settings.StopGrace - drainMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -27,6 +27,9 @@
 	// staleConfiguration is the age from which a request that the configuration does
 	// not allow gets "not ready": a newer one may allow it.
 	staleConfiguration = 2500 * time.Millisecond
+	// leavingRetry is the time after which a caller of an entry that is leaving may come
+	// back; another entry takes it at once.
+	leavingRetry = 20 * time.Millisecond
 	// notReadyRetry is the time after which a caller may come back to an entry that
 	// cannot serve it now.
 	notReadyRetry = 400 * time.Millisecond
@@ -97,6 +100,9 @@
 		r.ctx.SetConnectionClose()
 		return failure
 	}
+	if i.closed.Load() {
+		return &result.Error{Code: result.Leaving, Message: "the entry is leaving", RetryAfter: leavingRetry}
+	}
 	view := i.mirror.View()
 	r.viewAge = i.mirror.Age()
 	if view.Configuration == nil {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -49,8 +49,11 @@
 	// refused: the age is looked at before the request is sent.
 	keyMargin = 600 * time.Millisecond
 	// versionMargin is taken off the time after which no request may begin on an older
-	// version: it may wait at the server for about that long.
-	versionMargin = time.Second
+	// version, for requests that are sent. They wait a little at the server.
+	versionMargin = 600 * time.Millisecond
+	// beginMargin is taken off the same time for requests that wait at a server: they
+	// are taken back from one that still holds the older version.
+	beginMargin = 200 * time.Millisecond
 	// resendMargin is the part of the allowed resends that is used; another entry may
 	// count a window that begins at another moment.
 	resendMargin = 0.6
@@ -104,7 +107,9 @@
 	peerHTTP *fasthttp.Client
 	socket   *net.UDPConn
 	started  int64
+	// leaving is set from the signal to stop on, closed when no request is taken any more.
 	leaving  atomic.Bool
+	closed   atomic.Bool
 	inFlight atomic.Int64
 	servers  []*fasthttp.Server
 	callers  *fasthttp.Server
@@ -249,6 +254,20 @@
 	}
 }
 
+// beginBy returns how long a request may wait at a server for its first event: until
+// the deadline of a version that is newer than the one which the server holds.
+func (i *Ingress) beginBy(server, model string) (time.Duration, bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	held := i.scheduler.Held(time.Now(), server, model)
+	for _, target := range i.targets[model] {
+		if target.Version > held {
+			return target.Seen + i.settings.VersionDeadline - beginMargin - boottime.Now(), true
+		}
+	}
+	return 0, false
+}
+
 // isReady tells whether the entry can serve callers.
 func (i *Ingress) isReady() bool { return !i.leaving.Load() && i.isAvailable() }
 
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -34,6 +34,8 @@
 	// retryInterval is the pause after a read that failed. At this pace all daemons
 	// together stay far below the rate limit of the store.
 	retryInterval = 250 * time.Millisecond
+	// rereadPause is the pause before a topic is read anew.
+	rereadPause = 20 * time.Millisecond
 	// returnGrace is the time after an outage in which an expired entry of a live
 	// server comes back.
 	returnGrace = 2500 * time.Millisecond
@@ -75,6 +77,8 @@
 type Settings struct {
 	OperatorWait    time.Duration
 	ServersInterval time.Duration
+	// Clock is the clock of ages; it goes on during a suspension.
+	Clock func() time.Duration
 }
 
 // New starts a mirror. Changed is called with each new view, one call at a time.
@@ -86,6 +90,9 @@
 	if settings.ServersInterval == 0 {
 		settings.ServersInterval = serversInterval
 	}
+	if settings.Clock == nil {
+		settings.Clock = boottime.Now
+	}
 	m := &Mirror{registry: registry, ways: ways, settings: settings, log: log, changed: changed, stop: make(chan struct{})}
 	m.view.Store(&world.View{})
 	m.operatorAt.Store(int64(-time.Hour))
@@ -104,11 +111,11 @@
 func (m *Mirror) View() *world.View { return m.view.Load() }
 
 // Age returns how old the copy of the operator's records may be.
-func (m *Mirror) Age() time.Duration { return boottime.Now() - time.Duration(m.operatorAt.Load()) }
+func (m *Mirror) Age() time.Duration { return m.settings.Clock() - time.Duration(m.operatorAt.Load()) }
 
 // ServersAge returns how old the copy of the servers may be.
 func (m *Mirror) ServersAge() time.Duration {
-	return boottime.Now() - time.Duration(m.serversAt.Load())
+	return m.settings.Clock() - time.Duration(m.serversAt.Load())
 }
 
 // Close ends the loops.
@@ -122,8 +129,23 @@
 	fuchsiarouter.KeyedBatch
 	// whole is set when the batch has the newest record of every key.
 	whole bool
-	// sent is the boot time at which the read was sent.
-	sent time.Duration
+	// sent is the boot time at which the read was sent, received that of its answer.
+	sent     time.Duration
+	received time.Duration
+	// first is set for the first read, whose records may be of any age.
+	first bool
+}
+
+// answerDelay bounds how long an answer to a long poll is on its way.
+const answerDelay = 100 * time.Millisecond
+
+// writtenBy returns a boot time at which the records of the batch may have been
+// written at the earliest: an answer that was waited for brings a record at once.
+func (b *batch) writtenBy() time.Duration {
+	if b.first {
+		return 0
+	}
+	return max(b.sent, b.received-answerDelay)
 }
 
 // follow reads a topic until the mirror is closed.
@@ -141,12 +163,16 @@
 		if err == nil && read.Age > 0 && int64(read.sent-read.Age) <= confirmed.Load() {
 			err = errStale
 		}
+		read.first = confirmed.Load() < 0
 		var expired *fuchsiarouter.ExpiredError
 		switch {
 		case errors.As(err, &expired):
 			m.log.Info("records expired, the topic is read anew", zap.Int("topic", int(topic)),
 				zap.Int64("position", next), zap.Int64("first", expired.First))
 			whole = true
+			if !m.sleep(rereadPause) {
+				return
+			}
 			continue
 		case err != nil:
 			if !failing {
@@ -161,7 +187,7 @@
 		}
 		if failing || path.changed(way) {
 			m.log.Info("registry regained", zap.Int("topic", int(topic)), zap.Int("way", way),
-				zap.Duration("age", boottime.Now()-time.Duration(confirmed.Load())))
+				zap.Duration("age", m.settings.Clock()-time.Duration(confirmed.Load())))
 			failing = false
 		}
 		path.worked(way)
@@ -183,7 +209,7 @@
 }
 
 func (m *Mirror) read(source fuchsiarouter.KeyedTopics, topic fuchsiarouter.Topic, from int64, wait time.Duration, whole bool) (batch, error) {
-	sent := boottime.Now()
+	sent := m.settings.Clock()
 	var read fuchsiarouter.KeyedBatch
 	var err error
 	if whole {
@@ -198,7 +224,7 @@
 			return batch{}, &fuchsiarouter.ExpiredError{First: read.End}
 		}
 	}
-	return batch{KeyedBatch: read, whole: whole, sent: sent}, err
+	return batch{KeyedBatch: read, whole: whole, sent: sent, received: m.settings.Clock()}, err
 }
 
 func (m *Mirror) sleep(pause time.Duration) bool {
@@ -246,7 +272,7 @@
 				view = view.WithConfiguration(change.Configuration)
 			}
 			if change.Model != "" {
-				view = view.WithTarget(change.Model, world.Target{Version: change.Version, Seen: read.sent})
+				view = view.WithTarget(change.Model, world.Target{Version: change.Version, Seen: read.writtenBy()})
 			}
 			return view
 		})
@@ -272,7 +298,7 @@
 }
 
 func (r *registrations) apply(read batch) {
-	now := boottime.Now()
+	now := r.mirror.settings.Clock()
 	if r.mirror.ServersAge() > outageAfter && len(r.known) > 0 {
 		r.outageUntil = now + returnGrace
 	}
--- /dev/null
+++ b/mirror/mirror_test.go
@@ -0,0 +1,260 @@
+package mirror_test
+
+import (
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/mirror"
+	"github.com/fuchsiarouter/fuchsiarouter/world"
+)
+
+// store is a registry in memory. Its records hold world structs in JSON.
+type store struct {
+	mu      sync.Mutex
+	records map[fuchsiarouter.Topic][]fuchsiarouter.KeyedRecord
+	first   int64
+	down    bool
+	reads   int
+	// age is added to what is read, as from a daemon that passes on its copy.
+	age time.Duration
+}
+
+var errDown = errors.New("down")
+
+func newStore() *store {
+	return &store{records: map[fuchsiarouter.Topic][]fuchsiarouter.KeyedRecord{}}
+}
+
+func (s *store) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
+		s.mu.Lock()
+		s.reads++
+		if s.down {
+			s.mu.Unlock()
+			return fuchsiarouter.KeyedBatch{}, errDown
+		}
+		if from < s.first {
+			s.mu.Unlock()
+			return fuchsiarouter.KeyedBatch{}, &fuchsiarouter.ExpiredError{First: s.first}
+		}
+		all := s.records[topic]
+		batch := fuchsiarouter.KeyedBatch{End: int64(len(all)), Age: s.age}
+		if from < int64(len(all)) {
+			batch.Records = append(batch.Records, all[from:]...)
+		}
+		s.mu.Unlock()
+		if len(batch.Records) > 0 || !time.Now().Before(end) {
+			return batch, nil
+		}
+	}
+}
+
+func (s *store) Newest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return fuchsiarouter.KeyedBatch{}, errDown
+	}
+	newest := map[string]fuchsiarouter.KeyedRecord{}
+	for _, record := range s.records[topic] {
+		newest[record.Key] = record
+	}
+	batch := fuchsiarouter.KeyedBatch{End: int64(len(s.records[topic])), Age: s.age}
+	for _, record := range newest {
+		if len(record.Value) > 0 {
+			batch.Records = append(batch.Records, record)
+		}
+	}
+	return batch, nil
+}
+
+func (s *store) Put(topic fuchsiarouter.Topic, key string, value []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.records[topic] = append(s.records[topic],
+		fuchsiarouter.KeyedRecord{Offset: int64(len(s.records[topic])), Key: key, Value: value})
+	return nil
+}
+
+func (s *store) Operator(record fuchsiarouter.KeyedRecord) (fuchsiarouter.OperatorChange, error) {
+	if record.Key == "config" {
+		var version int64
+		err := json.Unmarshal(record.Value, &version)
+		return fuchsiarouter.OperatorChange{Configuration: world.NewConfiguration(version, world.Limits{})}, err
+	}
+	var version int
+	err := json.Unmarshal(record.Value, &version)
+	return fuchsiarouter.OperatorChange{Model: record.Key, Version: version}, err
+}
+
+func (s *store) Server(record fuchsiarouter.KeyedRecord) (*world.Server, error) {
+	server := &world.Server{ID: record.Key}
+	return server, json.Unmarshal(record.Value, server)
+}
+
+// set changes the store.
+func (s *store) set(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+func start(registry *store, others ...*store) *mirror.Mirror {
+	ways := func() []fuchsiarouter.KeyedTopics {
+		ways := []fuchsiarouter.KeyedTopics{registry}
+		for _, other := range others {
+			ways = append(ways, other)
+		}
+		return ways
+	}
+	began := time.Now()
+	clock := func() time.Duration { return time.Since(began) }
+	return mirror.New(registry, ways, mirror.Settings{Clock: clock}, zap.NewNop(), func(*world.View) {})
+}
+
+func put(t *testing.T, s *store, topic fuchsiarouter.Topic, key, value string) {
+	gomega.NewWithT(t).Expect(s.Put(topic, key, []byte(value))).To(gomega.Succeed())
+}
+
+// TestReturnsToTheStore guards against a daemon that goes on reading the copy of a
+// peer which is as old as its own, after the store is back.
+func TestReturnsToTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry, peer := newStore(), newStore()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		put(t, peer, fuchsiarouter.TopicOperator, "config", "1")
+		m := start(registry, peer)
+		defer m.Close()
+		time.Sleep(3 * time.Second)
+		peer.set(func() { peer.age = 24 * time.Hour })
+		registry.set(func() { registry.down = true })
+		time.Sleep(8 * time.Second)
+		registry.set(func() { registry.down = false })
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "2")
+		time.Sleep(3 * time.Second)
+		g.Expect(m.View().Configuration.Version).To(gomega.Equal(int64(2)))
+	})
+}
+
+// TestTakesAPeersCopy guards against an entry that the store turns away and that
+// serves nobody although its peers reach the store.
+func TestTakesAPeersCopy(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry, peer := newStore(), newStore()
+		peer.age = time.Millisecond
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		put(t, peer, fuchsiarouter.TopicOperator, "config", "1")
+		m := start(registry, peer)
+		defer m.Close()
+		time.Sleep(3 * time.Second)
+		registry.set(func() { registry.down = true })
+		put(t, peer, fuchsiarouter.TopicOperator, "config", "2")
+		time.Sleep(5 * time.Second)
+		g.Expect(m.View().Configuration.Version).To(gomega.Equal(int64(2)))
+	})
+}
+
+// TestNeverGoesBack guards against an older configuration or weight version that
+// comes with records which are read anew.
+func TestNeverGoesBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newStore()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "7")
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "3")
+		m := start(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "5")
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "2")
+		registry.set(func() { registry.first = 4 })
+		time.Sleep(3 * time.Second)
+		g.Expect(m.View().Configuration.Version).To(gomega.Equal(int64(7)))
+		g.Expect(m.View().Targets["m"].Version).To(gomega.Equal(3))
+	})
+}
+
+// TestServersThatExpireInAnOutage guards against taking live servers for gone because
+// their entries expired while the store was away, and against keeping those that do
+// not come back.
+func TestServersThatExpireInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newStore()
+		server := `{"Service":"s","Address":"127.0.0.1:1"}`
+		for _, id := range []string{"back", "lost"} {
+			put(t, registry, fuchsiarouter.TopicServers, id, server)
+		}
+		m := start(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		g.Expect(m.View().Servers).To(gomega.HaveLen(2))
+		registry.set(func() { registry.down = true })
+		time.Sleep(6 * time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "back", "")
+		put(t, registry, fuchsiarouter.TopicServers, "lost", "")
+		registry.set(func() { registry.down = false })
+		time.Sleep(1500 * time.Millisecond)
+		g.Expect(m.View().Servers).To(gomega.HaveLen(2))
+		put(t, registry, fuchsiarouter.TopicServers, "back", server)
+		time.Sleep(3 * time.Second)
+		g.Expect(m.View().Servers).To(gomega.HaveLen(1))
+		g.Expect(m.View().Servers).To(gomega.HaveKey("back"))
+	})
+}
+
+// TestServersThatLeave guards against requests to a server that is gone: outside an
+// outage a removal counts at once.
+func TestServersThatLeave(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newStore()
+		put(t, registry, fuchsiarouter.TopicServers, "a", `{"Service":"s"}`)
+		put(t, registry, fuchsiarouter.TopicServers, "broken", `{`)
+		m := start(registry)
+		defer m.Close()
+		time.Sleep(4 * time.Second)
+		g.Expect(m.View().Servers).To(gomega.HaveLen(1))
+		put(t, registry, fuchsiarouter.TopicServers, "a", "")
+		time.Sleep(500 * time.Millisecond)
+		g.Expect(m.View().Servers).To(gomega.BeEmpty())
+	})
+}
+
+// TestCopyTellsRemovals guards against a reader of the copy that keeps a server which
+// went while the copy was read anew.
+func TestCopyTellsRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newStore()
+		put(t, registry, fuchsiarouter.TopicServers, "a", `{"Service":"s"}`)
+		m := start(registry)
+		defer m.Close()
+		time.Sleep(4 * time.Second)
+		batch, known := m.Newest(fuchsiarouter.TopicServers)
+		g.Expect(known).To(gomega.BeTrue())
+		g.Expect(batch.Records).To(gomega.HaveLen(1))
+		put(t, registry, fuchsiarouter.TopicServers, "a", "")
+		put(t, registry, fuchsiarouter.TopicServers, "b", `{"Service":"s"}`)
+		registry.set(func() { registry.first = 2 })
+		time.Sleep(time.Second)
+		after, known := m.Read(fuchsiarouter.TopicServers, batch.End, 0)
+		g.Expect(known).To(gomega.BeTrue())
+		removed := map[string]bool{}
+		for _, record := range after.Records {
+			removed[record.Key] = len(record.Value) == 0
+		}
+		g.Expect(removed).To(gomega.Equal(map[string]bool{"a": true, "b": false}))
+		g.Expect(after.Age).To(gomega.BeNumerically(">", 0))
+	})
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -262,10 +262,7 @@
 	if request.Model == "" {
 		return true
 	}
-	held := s.Versions[request.Model]
-	if now.Before(s.aheadUntil) {
-		held = s.ahead[request.Model]
-	}
+	held := s.held(now, request.Model)
 	return held > 0 && held >= version
 }
 
@@ -392,6 +389,22 @@
 	return nil
 }
 
+// Held returns the version of a model that a server is known to hold.
+func (s *Scheduler) Held(now time.Time, id, model string) int {
+	known := s.servers[id]
+	if known == nil {
+		return 0
+	}
+	return known.held(now, model)
+}
+
+func (s *server) held(now time.Time, model string) int {
+	if now.Before(s.aheadUntil) {
+		return s.ahead[model]
+	}
+	return s.Versions[model]
+}
+
 // Load returns the requests of all entries at a server.
 func (s *Scheduler) Load(id string) int {
 	known := s.servers[id]
