schedule: serve on time, share between ranks; loader: offers, two pieces at once

Cause: in an overload a third of the requests were served late, which takes the place of answers in time. Change: requests wait while they can still begin in time, late ones count two ranks lower, the rank with the smallest served part is next; pieces are offered, and two come in at once; the manifest goes the way of its first piece.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -23,6 +23,9 @@
 	sendings = 4
 	// answerLimit bounds an answer that is not streamed, in bytes.
 	answerLimit = 16 << 20
+	// elapsedLeast is the difference between two deadlines of one route from which the
+	// shorter one tells that the caller comes back.
+	elapsedLeast = 5 * time.Millisecond
 	// leastWait is the least time that makes a sending worth while.
 	leastWait = 3 * time.Millisecond
 )
@@ -48,7 +51,7 @@
 	}
 	r.schedule = schedule.Request{
 		Service: r.service, Rank: r.rank, Workspace: r.workspace, Arrived: r.received,
-		Target: r.received.Add(target), Deadline: r.deadline,
+		Target: r.received.Add(target - i.elapsed(r)), Deadline: r.deadline,
 	}
 	if r.route.Generates {
 		r.schedule.Model = r.Model
@@ -78,6 +81,22 @@
 	}
 }
 
+// elapsed returns how long ago the caller sent the request for the first time: it
+// waits for less than callers of the route do at first.
+func (i *Ingress) elapsed(r *request) time.Duration {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	usual := i.waits[r.route.Name]
+	if r.Wait > usual {
+		i.waits[r.route.Name] = r.Wait
+		return 0
+	}
+	if r.Wait == 0 || usual-r.Wait < elapsedLeast {
+		return 0
+	}
+	return usual - r.Wait
+}
+
 // send sends the request until a server gives an answer that goes to the caller, of
 // which the head has arrived.
 func (i *Ingress) send(r *request, lastEvent string) (*sent, *result.Error) {
@@ -173,6 +192,7 @@
 		LastEvent: lastEvent, BodyLength: len(body),
 	})
 	head = append(head, body...)
+	sentAt := time.Now()
 	begin := r.left
 	if r.schedule.Model != "" {
 		if wait, bounded := i.beginBy(server.ID, r.schedule.Model); bounded {
@@ -187,6 +207,9 @@
 	if err != nil {
 		return nil, err
 	}
+	i.mu.Lock()
+	i.scheduler.Began(r.service, time.Since(sentAt))
+	i.mu.Unlock()
 	return &sent{server: server, answer: answer, reply: i.dialect.Reply(answer.Header, r.ID)}, nil
 }
 
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -104,6 +104,9 @@
 	// targets are the declared versions that are not required yet, by model.
 	targets map[string][]world.Target
 
+	// waits is the longest that callers of a route wait.
+	waits map[string]time.Duration
+
 	peerHTTP *fasthttp.Client
 	socket   *net.UDPConn
 	started  int64
@@ -124,7 +127,7 @@
 	i := &Ingress{
 		settings: settings, dialect: dialect, registry: registry, exchange: exchange.New(), log: log,
 		requests: newRequestLog(log), counters: newCounters(metrics.Scope),
-		scheduler: schedule.New(settings.AvailabilityZone), resends: map[string]*resendWindow{},
+		scheduler: schedule.New(settings.AvailabilityZone), resends: map[string]*resendWindow{}, waits: map[string]time.Duration{},
 		targets: map[string][]world.Target{}, peerHTTP: relay.NewHTTP(), started: time.Now().UnixMilli(),
 		stop: make(chan struct{}),
 	}
--- a/loader/fetch.go
+++ b/loader/fetch.go
@@ -98,21 +98,15 @@
 	delete(l.versions, shelfKey(model, version))
 }
 
-// findManifest asks the sources of a few pieces, then the origin.
+// findManifest takes the manifest by the way of its first piece, so that the origin
+// sends it once, and asks the origin itself when that fails.
 func (l *Loader) findManifest(view *world.View, model string, version int) (fuchsiarouter.PieceManifest, error) {
-	plan, addresses, complete := l.plan(view, model, version, func(string) bool { return false })
-	const asked = 2
-	for piece := range asked {
-		source := plan.Source(piece)
-		if source == supply.Origin || !complete[source] {
-			continue
-		}
+	plan, addresses, _ := l.plan(view, model, version, func(string) bool { return false })
+	if source := plan.Source(0); source != supply.Origin {
 		status, body, err := l.get(addresses[source], manifestPath, model, version, "")
-		if err != nil || status != fasthttp.StatusOK {
-			continue
-		}
 		var manifest fuchsiarouter.PieceManifest
-		if json.Unmarshal(body, &manifest) == nil && manifest.Version == version && manifest.Model == model {
+		if err == nil && status == fasthttp.StatusOK && json.Unmarshal(body, &manifest) == nil &&
+			manifest.Version == version && manifest.Model == model {
 			return manifest, nil
 		}
 	}
--- a/loader/serve.go
+++ b/loader/serve.go
@@ -19,6 +19,7 @@
 )
 
 const (
+	offerPath    = "/offer"
 	piecePath    = "/piece"
 	manifestPath = "/manifest"
 	// pieceWait bounds how long a loader waits for a piece that another one is fetching.
@@ -29,7 +30,10 @@
 	// linkShare is the part of the link that pieces may use. Events of the engine share
 	// the link and may be late by 120 ms at most.
 	linkShare = 0.85
-	// pieceHeader is the length of the number before the content of a piece.
+	// transfers is the number of pieces that come in at once. More would queue on a link
+	// that is squeezed, and hold up what callers send and cancel.
+	transfers = 2
+	// pieceHeader is the length of the number of an offered piece.
 	pieceHeader = 4
 	// wantedLimit bounds the pieces that a request names.
 	wantedLimit = 4096
@@ -67,8 +71,10 @@
 			page(ctx)
 		case manifestPath:
 			l.serveManifest(ctx, model, version)
+		case offerPath:
+			l.serveOffer(ctx, model, version, parseWanted(string(query.Peek("wanted"))))
 		case piecePath:
-			l.servePiece(ctx, model, version, parseWanted(string(query.Peek("wanted"))))
+			l.servePiece(ctx, model, version, query.GetUintOrZero("piece"))
 		default:
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 		}
@@ -77,6 +83,10 @@
 
 func (l *Loader) serveManifest(ctx *fasthttp.RequestCtx, model string, version int) {
 	known := l.shelf(model, version)
+	for end := time.Now().Add(pieceWait); known == nil && time.Now().Before(end); {
+		time.Sleep(shelfLook / 4)
+		known = l.shelf(model, version)
+	}
 	if known == nil {
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
 		return
@@ -89,26 +99,50 @@
 	ctx.SetBody(body)
 }
 
-// servePiece answers with one of the wanted pieces, or with no content when none came
-// in time.
-func (l *Loader) servePiece(ctx *fasthttp.RequestCtx, model string, version int, wanted []int) {
-	piece, content := l.piece(model, version, wanted)
+// serveOffer answers with one of the wanted pieces that may be fetched now, or with no
+// content when none came in time.
+func (l *Loader) serveOffer(ctx *fasthttp.RequestCtx, model string, version int, wanted []int) {
+	piece, content := l.offer(model, version, wanted)
 	if piece < 0 {
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 		return
 	}
 	l.pacer.wait(len(content))
+	ctx.SetBody(binary.BigEndian.AppendUint32(nil, uint32(piece)))
+}
+
+// servePiece answers with a piece that was offered.
+func (l *Loader) servePiece(ctx *fasthttp.RequestCtx, model string, version, piece int) {
+	content := l.content(model, version, piece)
+	if content == nil {
+		ctx.SetStatusCode(fasthttp.StatusNotFound)
+		return
+	}
 	l.counters.served.Inc(1)
-	body := binary.BigEndian.AppendUint32(make([]byte, 0, pieceHeader+len(content)), uint32(piece))
-	ctx.Response.SetBodyRaw(append(body, content...))
+	ctx.Response.SetBodyRaw(content)
 }
 
-// piece returns one of the wanted pieces, verified where the digests are known. What
-// the engine has staged is read back.
-func (l *Loader) piece(model string, version int, wanted []int) (int, []byte) {
-	if len(wanted) == 0 {
-		return -1, nil
+// content returns a piece, verified where the digests are known. What the engine has
+// staged is read back.
+func (l *Loader) content(model string, version, piece int) []byte {
+	known := l.shelf(model, version)
+	if known != nil {
+		if content := known.get(piece); content != nil {
+			return content
+		}
+	}
+	if l.held(model) != version {
+		return nil
+	}
+	content, err := l.engine.Staged(model, piece)
+	if err != nil || known != nil && !known.verify(piece, content) {
+		return nil
 	}
+	return content
+}
+
+// offer returns one of the wanted pieces, and waits for one that is on its way.
+func (l *Loader) offer(model string, version int, wanted []int) (int, []byte) {
 	end := time.Now().Add(pieceWait)
 	known := l.shelf(model, version)
 	for known == nil && l.held(model) != version && time.Now().Before(end) {
@@ -116,16 +150,10 @@
 		time.Sleep(shelfLook)
 		known = l.shelf(model, version)
 	}
-	if known != nil {
-		for _, piece := range wanted {
-			if content := known.get(piece); content != nil {
-				return piece, content
-			}
-		}
-	}
-	if l.held(model) == version {
-		if content, err := l.engine.Staged(model, wanted[0]); err == nil && (known == nil || known.verify(wanted[0], content)) {
-			return wanted[0], content
+	const looked = 3
+	for _, piece := range wanted[:min(len(wanted), looked)] {
+		if content := l.content(model, version, piece); content != nil {
+			return piece, content
 		}
 	}
 	if known == nil {
@@ -157,16 +185,23 @@
 		}
 		list.WriteString(strconv.Itoa(piece))
 	}
-	status, body, err := l.get(address, piecePath, model, version, "&wanted="+list.String())
+	status, body, err := l.get(address, offerPath, model, version, "&wanted="+list.String())
 	switch {
 	case err != nil:
 		return 0, nil, err
 	case status == fasthttp.StatusNoContent:
 		return -1, nil, nil
-	case status != fasthttp.StatusOK || len(body) < pieceHeader:
-		return 0, nil, errors.Errorf("peer: status %d, %d bytes", status, len(body))
+	case status != fasthttp.StatusOK || len(body) != pieceHeader:
+		return 0, nil, errors.Errorf("offer: status %d, %d bytes", status, len(body))
+	}
+	piece := int(binary.BigEndian.Uint32(body))
+	l.transfers <- struct{}{}
+	defer func() { <-l.transfers }()
+	status, body, err = l.get(address, piecePath, model, version, "&piece="+strconv.Itoa(piece))
+	if err == nil && status != fasthttp.StatusOK {
+		err = errors.Errorf("piece: status %d", status)
 	}
-	return int(binary.BigEndian.Uint32(body)), body[pieceHeader:], nil
+	return piece, body, err
 }
 
 func (l *Loader) get(address, path, model string, version int, query string) (int, []byte, error) {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -10,8 +10,8 @@
 	// Workspace is empty for requests without a key.
 	Workspace string
 	Arrived   time.Time
-	// Target is the time by which the answer should begin, Deadline that at which
-	// the caller stops waiting.
+	// Target is the time by which the answer should begin, counted from the caller's
+	// first attempt; Deadline that at which the caller stops waiting.
 	Target   time.Time
 	Deadline time.Time
 	// Model names the weights that the request runs on, empty for plain services.
@@ -21,11 +21,17 @@
 	// Granted receives the server of a request that had to wait.
 	Granted func(Grant)
 
-	// place orders waiting requests of one rank.
+	// order is the rank among waiting requests, place the order within it.
+	order   int
 	place   uint64
 	waiting bool
+	// patience is the time until which it makes sense to wait.
+	patience time.Time
 }
 
+// late tells whether the answer cannot begin in time any more.
+func (r *Request) late(now time.Time) bool { return now.After(r.Target) }
+
 // Grant is the decision on a waiting request: a server, or a refusal.
 type Grant struct {
 	// Server is empty for a refusal.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -1,18 +1,26 @@
 // Package schedule chooses the backend server of each request at an entry, and the
 // order in which waiting requests are sent.
 //
-// A server has places: its slots and a few more, so that a slot that becomes free is
-// filled at once. Places in use are counted from the requests of this entry and from
-// what the other entries report of theirs. A request goes to the server with the
-// smallest share of its places in use, servers of the own availability zone first at
-// equal load. When every place is taken it waits, by rank and then by arrival. It is
-// refused at once when the requests ahead of it will take longer than it can wait.
+// A server has as many places as slots. Places in use are counted from the requests
+// of this entry and from what the other entries report of theirs. A request goes to
+// the server with the smallest share of its places in use, servers of the own
+// availability zone first at equal load.
+//
+// When every place is taken a request waits, but not longer than its answer can still
+// begin in time: an answer that comes late earns little and takes the place of one
+// that would not. A request that cannot be served in time is refused at once, so that
+// its caller comes back when it is calmer. A free place goes to the most urgent rank
+// first, and then to the rank of which the smallest part was served lately, so that a
+// flood of one rank does not take everything from those below it. Requests that are
+// late already take places only while some are left over.
+//
+// The load that this answers is one of 1.3 times the capacity for the whole day, with
+// bursts of one rank of 2.6 times its usual requests.
 //
 // A Scheduler holds no clock, goroutine or lock. It is for one goroutine at a time.
 package schedule
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -22,13 +30,32 @@
 )
 
 const (
-	// overcommit is the number of places beyond the slots of a server. A request on
-	// its way takes a few ms, in which a slot would be idle.
-	overcommit = 2
+	// urgentOvercommit and overcommit are the numbers of places beyond the slots of an
+	// engine, for the most urgent rank and for the others. An engine admits at the end
+	// of a pass of some 80 ms, so that a request which waits there takes a free slot one
+	// pass earlier.
+	urgentOvercommit = 2
+	overcommit       = 1
+	// plainOvercommit is the number of places beyond the slots of a plain service. Its
+	// requests take a few ms, as long as the news of a free slot.
+	plainOvercommit = 4
+	// rankBias is how much smaller the served part of a rank may be than that of the
+	// next more urgent one before it gets the next place.
+	rankBias = 0.9
+	// beginDefault is the time from sending to the first event before any was measured,
+	// beginWeight the weight of a new measurement.
+	beginDefault = 150 * time.Millisecond
+	beginWeight  = 0.04
+	// beginShare is the part of the time to the first event that is kept of the target
+	// for it. A short prompt begins earlier than the average.
+	beginShare = 0.5
+	// lateRanks is how much less urgent a request counts that is late already: its
+	// answer earns about as much for the time of an engine as one two ranks below.
+	lateRanks = 2
+	// latePatience bounds the wait of a request that is late already.
+	latePatience = time.Second
 	// zonePenalty is the load at which a server of another zone is preferred.
 	zonePenalty = 0.15
-	// rateWindow is the time over which the pace of a service is averaged.
-	rateWindow = 2 * time.Second
 	// rateLeast is the pace that is assumed when nothing ended lately, in requests a
 	// second.
 	rateLeast = 1.0
@@ -44,8 +71,10 @@
 	loadingPenalty = 2.0
 	// retryLeast and retryMost bound the time after which a refused request may come
 	// back.
-	retryLeast = 100 * time.Millisecond
+	retryLeast = 200 * time.Millisecond
 	retryMost  = 2 * time.Second
+	// retrySpread keeps refused requests from coming back together.
+	retrySpread = 800 * time.Millisecond
 )
 
 // Scheduler holds the load of the servers and the requests that wait.
@@ -62,9 +91,12 @@
 type service struct {
 	servers []*server
 	waiting []*Request
-	// rate is the pace at which requests of this entry end, in requests a second.
-	rate    float64
-	endedAt time.Time
+	// ended is the pace at which requests of this entry end.
+	ended pace
+	// shares is the served part by rank.
+	shares map[int]*share
+	// begin is the time from sending to the first event.
+	begin time.Duration
 }
 
 // server is the state of a backend server.
@@ -119,7 +151,7 @@
 func (s *Scheduler) group(name string) *service {
 	group := s.services[name]
 	if group == nil {
-		group = &service{}
+		group = &service{shares: map[int]*share{}, begin: beginDefault}
 		s.services[name] = group
 	}
 	return group
@@ -167,16 +199,30 @@
 // Offer decides on a request that has arrived, or that must be sent again.
 func (s *Scheduler) Offer(now time.Time, request *Request) Grant {
 	group := s.group(request.Service)
+	late := request.late(now)
+	share := group.share(request.Rank)
+	if len(request.Tried) == 0 && !late {
+		share.ask(now)
+	}
 	if chosen := s.choose(now, group, request); chosen != nil {
 		chosen.own++
+		if len(request.Tried) == 0 && !late {
+			share.grant(now)
+		}
 		return Grant{Server: chosen.ID}
 	}
 	if !s.possible(now, group, request) {
 		return Grant{Reason: NoServer, RetryAfter: retryMost / 4}
 	}
+	request.order = request.Rank
+	request.patience = request.Target.Add(-time.Duration(beginShare * float64(group.begin)))
+	if late {
+		request.order += lateRanks
+		request.patience = now.Add(min(latePatience, request.Deadline.Sub(now)/4))
+	}
 	wait := group.wait(now, request)
-	if now.Add(wait).After(request.Target) {
-		return Grant{Reason: Overloaded, RetryAfter: min(max(wait, retryLeast), retryMost)}
+	if now.Add(wait).After(request.patience) {
+		return Grant{Reason: Overloaded, RetryAfter: group.comeBack(now, wait)}
 	}
 	s.places++
 	request.place = s.places
@@ -186,10 +232,33 @@
 	return Grant{Waited: true}
 }
 
+func (g *service) share(rank int) *share {
+	known := g.shares[rank]
+	if known == nil {
+		known = &share{}
+		g.shares[rank] = known
+	}
+	return known
+}
+
+// comeBack returns when a refused request may come back: after the requests that wait
+// have been served, at different moments for those that are refused together.
+func (g *service) comeBack(now time.Time, wait time.Duration) time.Duration {
+	drain := time.Duration(float64(len(g.waiting)) / max(g.ended.value(now), rateLeast) * float64(time.Second))
+	spread := time.Duration(rand.Int64N(int64(retrySpread)))
+	return min(max(wait, drain, retryLeast)+spread, retryMost)
+}
+
+// Began takes the time from sending to the first event of a request.
+func (s *Scheduler) Began(service string, took time.Duration) {
+	group := s.group(service)
+	group.begin += time.Duration(beginWeight * float64(took-group.begin))
+}
+
 // before orders waiting requests.
 func before(a, b *Request) int {
-	if a.Rank != b.Rank {
-		return a.Rank - b.Rank
+	if a.order != b.order {
+		return a.order - b.order
 	}
 	if a.place < b.place {
 		return -1
@@ -204,11 +273,11 @@
 func (g *service) wait(now time.Time, request *Request) time.Duration {
 	ahead := 1
 	for _, waiting := range g.waiting {
-		if waiting.Rank <= request.Rank {
+		if waiting.order <= request.order {
 			ahead++
 		}
 	}
-	return time.Duration(float64(ahead) / max(g.pace(now), rateLeast) * float64(time.Second))
+	return time.Duration(float64(ahead) / max(g.ended.value(now), rateLeast) * float64(time.Second))
 }
 
 // choose returns the server with the least load that has a free place, or nil.
@@ -221,10 +290,10 @@
 		if !candidate.fits(now, request, version) || now.Before(candidate.until) {
 			continue
 		}
-		load := candidate.load()
-		if load >= 1 {
+		if candidate.used() >= candidate.places(request) {
 			continue
 		}
+		load := candidate.load()
 		if candidate.AvailabilityZone != s.zone {
 			load += zonePenalty
 		}
@@ -266,13 +335,28 @@
 	return held > 0 && held >= version
 }
 
-// load is the share of the places that are in use.
-func (s *server) load() float64 {
+// used is the number of requests of all entries at the server.
+func (s *server) used() int {
 	used := s.own
 	for _, count := range s.others {
 		used += count
 	}
-	return float64(used) / float64(max(s.Slots, 1)+overcommit)
+	return used
+}
+
+// load is the share of the slots that are in use.
+func (s *server) load() float64 { return float64(s.used()) / float64(max(s.Slots, 1)) }
+
+// places is the number of requests up to which the server takes another one.
+func (s *server) places(request *Request) int {
+	slots := max(s.Slots, 1)
+	switch {
+	case request.Model == "":
+		return slots + plainOvercommit
+	case request.Rank == 0:
+		return slots + urgentOvercommit
+	}
+	return slots + overcommit
 }
 
 // Outcome is how a sending ended.
@@ -294,7 +378,7 @@
 func (s *Scheduler) Release(now time.Time, id, service string, outcome Outcome) {
 	group := s.group(service)
 	if outcome == Ended {
-		group.count(now)
+		group.ended.count(now)
 	}
 	if server := s.servers[id]; server != nil {
 		server.own = max(server.own-1, 0)
@@ -310,18 +394,6 @@
 	s.fill(now, group)
 }
 
-// count averages the pace of the service.
-func (g *service) count(now time.Time) {
-	g.rate = g.pace(now) + 1/rateWindow.Seconds()
-	g.endedAt = now
-}
-
-// pace is the average of the requests that end in a second; it fades while none
-// ends.
-func (g *service) pace(now time.Time) float64 {
-	return g.rate * math.Exp(-now.Sub(g.endedAt).Seconds()/rateWindow.Seconds())
-}
-
 // Cancel takes a waiting request out. It reports false when it was granted before.
 func (s *Scheduler) Cancel(request *Request) bool {
 	if !request.waiting {
@@ -339,42 +411,72 @@
 		s.fill(now, group)
 		for i := len(group.waiting) - 1; i >= 0; i-- {
 			request := group.waiting[i]
-			if now.After(request.Target) && (now.After(request.Deadline) || group.overdue(now, request)) {
+			if now.After(request.patience) {
 				s.Cancel(request)
-				request.Granted(Grant{Reason: Expired, RetryAfter: retryLeast})
+				request.Granted(Grant{Reason: Expired, RetryAfter: group.comeBack(now, 0)})
 			}
 		}
 	}
 }
 
-// overdue tells whether a waiting request has used up half of its time.
-func (g *service) overdue(now time.Time, request *Request) bool {
-	return now.Sub(request.Arrived) > request.Deadline.Sub(request.Arrived)/4
-}
-
 // fill grants free places to waiting requests.
 func (s *Scheduler) fill(now time.Time, group *service) {
-	for i := 0; i < len(group.waiting); {
-		request := group.waiting[i]
+	passed := map[*Request]bool{}
+	for {
+		request := group.next(passed)
+		if request == nil {
+			return
+		}
 		chosen := s.choose(now, group, request)
 		if chosen == nil {
-			if group.full(now) {
+			if group.full() {
 				return
 			}
-			i++
+			passed[request] = true
 			continue
 		}
 		chosen.own++
-		group.waiting = slices.Delete(group.waiting, i, i+1)
-		request.waiting = false
+		s.Cancel(request)
+		if request.order == request.Rank && len(request.Tried) == 0 {
+			group.share(request.Rank).grant(now)
+		}
 		request.Granted(Grant{Server: chosen.ID})
 	}
 }
 
-// full tells whether no server has a free place.
-func (g *service) full(now time.Time) bool {
+// next returns the request that gets the next place: the first of the most urgent
+// rank, or else the first of the rank of which the smallest part was served.
+func (g *service) next(passed map[*Request]bool) *Request {
+	var best *Request
+	least := 0.0
+	bias := 1.0
+	for i, request := range g.waiting {
+		if passed[request] {
+			continue
+		}
+		if i > 0 && g.waiting[i-1].order == request.order && !passed[g.waiting[i-1]] {
+			continue
+		}
+		if request.order == 0 {
+			return request
+		}
+		value := 1.0
+		if request.order == request.Rank {
+			value = g.share(request.Rank).value()
+		}
+		value *= bias
+		bias /= rankBias
+		if best == nil || value < least {
+			best, least = request, value
+		}
+	}
+	return best
+}
+
+// full tells whether every slot of the servers that take requests is in use.
+func (g *service) full() bool {
 	for _, candidate := range g.servers {
-		if !candidate.Draining && now.After(candidate.until) && candidate.load() < 1 {
+		if !candidate.Draining && candidate.used() < max(candidate.Slots, 1) {
 			return false
 		}
 	}
@@ -404,16 +506,3 @@
 	}
 	return s.Versions[model]
 }
-
-// Load returns the requests of all entries at a server.
-func (s *Scheduler) Load(id string) int {
-	known := s.servers[id]
-	if known == nil {
-		return 0
-	}
-	used := known.own
-	for _, count := range known.others {
-		used += count
-	}
-	return used
-}
