loader: fetch beside loading; tell entries when an engine loads

Change: one loop fetches, another stages and orders; entries keep long requests from engines that load soon.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -54,7 +54,7 @@
 		Target: r.received.Add(target - i.elapsed(r)), Deadline: r.deadline,
 	}
 	if r.route.Generates {
-		r.schedule.Model = r.Model
+		r.schedule.Model, r.schedule.Tokens = r.Model, r.AnswerTokens
 	}
 	if r.route.Kind == world.Stream {
 		return i.runStream(r)
--- a/ingress/news.go
+++ b/ingress/news.go
@@ -11,6 +11,7 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/roster"
+	"github.com/fuchsiarouter/fuchsiarouter/schedule"
 )
 
 const (
@@ -109,7 +110,10 @@
 		now := time.Now()
 		if message.Engine != nil {
 			i.mu.Lock()
-			i.scheduler.SetEngine(now, message.Engine.Address, message.Engine.Versions, message.Engine.Loading)
+			i.scheduler.SetEngine(now, schedule.Engine{
+				Address: message.Engine.Address, Versions: message.Engine.Versions, Loading: message.Engine.Loading,
+				LoadsIn: time.Duration(message.Engine.LoadsInMilliseconds) * time.Millisecond,
+			})
 			i.mu.Unlock()
 			continue
 		}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -33,7 +33,8 @@
 	lastID  string
 	over    bool
 	closed  bool
-	first   bool
+	// began is the time of the first event.
+	began time.Time
 }
 
 // runStream opens a stream and reads its first event, so that a failure before it
@@ -59,6 +60,7 @@
 		}
 	}
 	i.counters.firstEvent(time.Since(r.received))
+	e.began = time.Now()
 	i.accept(r, e.current)
 	r.ctx.Response.SetBodyStream(e, -1)
 	return nil
@@ -159,9 +161,17 @@
 		outcome := schedule.Left
 		if code == result.OK {
 			outcome = schedule.Ended
+			e.ingress.generated(e.request, time.Since(e.began))
 		}
 		e.ingress.released(e.request, e.current.server.ID, outcome)
 	}
 	e.request.release()
 	e.ingress.finish(e.request, code, detail)
 }
+
+// generated takes the time that a whole answer took.
+func (i *Ingress) generated(r *request, took time.Duration) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.scheduler.Generated(r.service, r.AnswerTokens, took)
+}
--- a/loader/announce.go
+++ b/loader/announce.go
@@ -48,6 +48,9 @@
 		}
 		message.Engine.Loading = message.Engine.Loading || state.loading
 	}
+	if in := time.Until(l.loadsAt); in > 0 {
+		message.Engine.LoadsInMilliseconds = in.Milliseconds()
+	}
 	entries := l.entries
 	l.mu.Unlock()
 	body, err := json.Marshal(message)
--- a/loader/converge.go
+++ b/loader/converge.go
@@ -22,7 +22,7 @@
 	// engine is ordered to load. An engine that loads takes nothing new until what it
 	// runs has ended, so the engines of a service take turns.
 	earliestLoad = 0.45
-	latestLoad   = 0.9
+	latestLoad   = 0.96
 	// loadingLook is the time between two looks at an engine that loads.
 	loadingLook = 100 * time.Millisecond
 )
@@ -30,7 +30,6 @@
 var (
 	errOvertaken = errors.New("a newer version is declared")
 	errStopped   = errors.New("the loader ends")
-	errAbsent    = errors.New("the engine does not report")
 )
 
 // converge brings the engine to the declared version until the loader ends.
@@ -52,56 +51,129 @@
 // the time until the next look.
 func (l *Loader) look() time.Duration {
 	view := l.mirror.View()
-	if view.Configuration == nil {
-		return lookInterval
-	}
-	service := view.Configuration.Services[l.settings.Service]
-	if service == nil || service.Engine == nil || len(service.Engine.Models) == 0 {
-		return 4 * lookInterval
-	}
 	pause := 4 * lookInterval
-	for _, model := range service.Engine.Models {
-		version := max(view.Targets[model].Version, firstVersion)
+	for _, model := range l.models(view) {
 		report, err := l.engine.Report()
 		if err != nil {
-			l.prefetch(view, model, version, service.Engine)
-			return lookInterval
+			pause = lookInterval
+			continue
 		}
 		l.reported(model, report)
 		switch {
 		case report.Busy:
 			pause = loadingLook
-		case report.Versions[model] < version:
+		case report.Versions[model] < declared(view, model):
 			pause = lookInterval
-			if err := l.bring(view, model, version, service.Engine); err != nil {
-				l.log.Info("version not loaded", zap.String("model", model), zap.Int("version", version),
+			full := l.fullest(model, report.Versions[model])
+			if full == nil {
+				continue
+			}
+			if err := l.load(model, full); err != nil {
+				l.log.Info("version not loaded", zap.String("model", model), zap.Int("version", full.manifest.Version),
 					zap.String("cause", err.Error()))
-				pause = loadingLook
 			}
+			pause = loadingLook
 		}
 	}
 	return pause
 }
 
-// prefetch fetches a version while the engine has not started yet, if others of its
-// zone have it.
-func (l *Loader) prefetch(view *world.View, model string, version int, engine *world.Engine) {
-	if l.held(model) > 0 {
-		return
+// models returns the models of the engine's service.
+func (l *Loader) models(view *world.View) []string {
+	if view.Configuration == nil {
+		return nil
 	}
-	_, _, complete := l.plan(view, model, version, func(string) bool { return false })
-	for _, whole := range complete {
-		if whole {
-			shelf, err := l.open(view, model, version, engine)
-			if err == nil {
-				err = l.fill(model, version, shelf)
+	service := view.Configuration.Services[l.settings.Service]
+	if service == nil || service.Engine == nil {
+		return nil
+	}
+	return service.Engine.Models
+}
+
+// declared returns the version of a model that the engine should hold.
+func declared(view *world.View, model string) int {
+	return max(view.Targets[model].Version, firstVersion)
+}
+
+// fullest returns the newest version beyond the held one of which every piece is
+// there, or nil.
+func (l *Loader) fullest(model string, held int) *shelf {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var newest *shelf
+	for _, known := range l.versions {
+		manifest := known.manifest
+		if manifest.Model == model && manifest.Version > held && len(known.left()) == 0 &&
+			(newest == nil || manifest.Version > newest.manifest.Version) {
+			newest = known
+		}
+	}
+	return newest
+}
+
+// collect fetches the pieces of what is declared until the loader ends, while the
+// engine serves or loads an older version.
+func (l *Loader) collect() {
+	for {
+		view := l.mirror.View()
+		pause := lookInterval
+		for _, model := range l.models(view) {
+			version := declared(view, model)
+			if !l.lacks(view, model, version) {
+				continue
 			}
+			pause = loadingLook
+			err := l.gather(view, model, version)
 			if err != nil {
-				l.log.Info("version not fetched", zap.Int("version", version), zap.String("cause", err.Error()))
+				l.log.Info("version not fetched", zap.String("model", model), zap.Int("version", version),
+					zap.String("cause", err.Error()))
+				continue
 			}
+			l.nudge()
+		}
+		select {
+		case <-l.stop:
 			return
+		case <-l.declaredNow:
+		case <-time.After(pause):
+		}
+	}
+}
+
+// lacks tells whether the pieces of a version are to be fetched. An engine that has
+// not reported yet is expected to lack it when others of its service have it.
+func (l *Loader) lacks(view *world.View, model string, version int) bool {
+	if known := l.shelf(model, version); known != nil && len(known.left()) == 0 {
+		return false
+	}
+	l.mu.Lock()
+	state, reported := l.engines[model]
+	l.mu.Unlock()
+	if reported {
+		return state.version < version
+	}
+	_, _, complete := l.plan(view, model, version, func(string) bool { return false })
+	for _, whole := range complete {
+		if whole {
+			return true
 		}
 	}
+	return false
+}
+
+// gather fetches the missing pieces of a version.
+func (l *Loader) gather(view *world.View, model string, version int) error {
+	began := time.Now()
+	shelf, err := l.open(view, model, version, view.Configuration.Services[l.settings.Service].Engine)
+	if err != nil {
+		return err
+	}
+	if err := l.fill(model, version, shelf); err != nil {
+		return err
+	}
+	l.log.Info("version fetched", zap.String("model", model), zap.Int("version", version),
+		zap.Duration("took", time.Since(began)))
+	return nil
 }
 
 // reported keeps what the engine says of itself, and tells the entries of changes.
@@ -134,21 +206,15 @@
 	return l.mirror.View().Targets[model].Version > version && progress < finishFrom
 }
 
-// bring fetches and stages a version and orders the engine to load it.
-func (l *Loader) bring(view *world.View, model string, version int, engine *world.Engine) error {
+// load stages a version and orders the engine to load it, when it is its turn.
+func (l *Loader) load(model string, shelf *shelf) error {
 	began := time.Now()
-	shelf, err := l.open(view, model, version, engine)
-	if err != nil {
-		return err
-	}
-	if err := l.fill(model, version, shelf); err != nil {
-		return err
-	}
-	filled := time.Now()
+	version := shelf.manifest.Version
 	if err := l.stage(model, shelf); err != nil {
 		return err
 	}
-	if err := l.awaitTurn(model); err != nil {
+	staged := time.Now()
+	if newer, err := l.awaitTurn(model, version); err != nil || newer {
 		return err
 	}
 	if err := l.check(model, version, shelf); err != nil {
@@ -166,8 +232,8 @@
 		return err
 	}
 	l.log.Info("load ordered", zap.String("model", model), zap.Int("version", version), zap.Int("answer", int(answer)),
-		zap.Int("running", report.Running), zap.Duration("fetched-in", filled.Sub(began)),
-		zap.Duration("staged-in", time.Since(filled)))
+		zap.Int("running", report.Running), zap.Int("waiting", report.Waiting), zap.Duration("staged-in", staged.Sub(began)),
+		zap.Duration("waited", time.Since(staged)))
 	if answer == fuchsiarouter.OrderRefused {
 		return errors.New("the engine refused the order")
 	}
@@ -188,34 +254,54 @@
 }
 
 // awaitTurn waits until this engine may load. One that holds no version loads at once.
-func (l *Loader) awaitTurn(model string) error {
+// It reports whether a newer version is complete meanwhile.
+func (l *Loader) awaitTurn(model string, version int) (bool, error) {
 	held := l.held(model)
 	if held == 0 {
-		return nil
+		return false, nil
 	}
+	ready := boottime.Now()
 	for {
-		view := l.mirror.View()
 		due, ok := l.deadline(model, held)
 		if !ok {
-			return nil
+			return false, nil
 		}
-		rank, count := l.turn(view)
+		rank, count := l.turn(l.mirror.View())
 		span := float64(l.settings.VersionDeadline)
-		opens := due - time.Duration(span*(1-earliestLoad))
+		opens := max(due-time.Duration(span*(1-earliestLoad)), ready)
 		closes := due - time.Duration(span*(1-latestLoad))
 		now := boottime.Now()
 		turn := opens + time.Duration(float64(closes-opens)*float64(rank)/float64(max(count, 1)))
 		if now >= turn {
-			return nil
+			return false, nil
 		}
+		if full := l.fullest(model, held); full != nil && full.manifest.Version > version {
+			return true, nil
+		}
+		l.expectLoad(turn - now)
 		select {
 		case <-l.stop:
-			return errStopped
+			return false, errStopped
 		case <-time.After(min(turn-now, loadingLook)):
 		}
 	}
 }
 
+// expectLoad tells the entries when the engine will load, so that they send it what
+// ends before.
+func (l *Loader) expectLoad(in time.Duration) {
+	l.mu.Lock()
+	l.loadsAt = time.Now().Add(in)
+	due := time.Since(l.toldLoad) >= announceInterval
+	if due {
+		l.toldLoad = time.Now()
+	}
+	l.mu.Unlock()
+	if due {
+		l.announce()
+	}
+}
+
 // turn returns the place of this engine among those of its service.
 func (l *Loader) turn(view *world.View) (rank, count int) {
 	var ids []string
@@ -264,16 +350,19 @@
 	return first + l.settings.VersionDeadline, found
 }
 
-// note remembers when each version was declared.
-func (l *Loader) note(view *world.View) {
+// note remembers when each version was declared. It reports whether one is new.
+func (l *Loader) note(view *world.View) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	fresh := false
 	for model, target := range view.Targets {
 		if l.declared[model] == nil {
 			l.declared[model] = map[int]time.Duration{}
 		}
 		if _, known := l.declared[model][target.Version]; !known {
 			l.declared[model][target.Version] = target.Seen
+			fresh = true
 		}
 	}
+	return fresh
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -81,6 +81,10 @@
 	// engines is the state of the engine by model, changedAt the time of its last change.
 	engines   map[string]engineState
 	changedAt time.Time
+	// loadsAt is when the engine is expected to load, toldLoad when the entries were
+	// told of it last.
+	loadsAt  time.Time
+	toldLoad time.Time
 	// declared holds the boot times at which versions were declared.
 	declared map[string]map[int]time.Duration
 	pacer    pacer
@@ -89,8 +93,10 @@
 
 	server *fasthttp.Server
 	wake   chan struct{}
-	stop   chan struct{}
-	done   sync.WaitGroup
+	// declaredNow wakes the fetching of pieces.
+	declaredNow chan struct{}
+	stop        chan struct{}
+	done        sync.WaitGroup
 }
 
 // New starts a loader.
@@ -121,10 +127,13 @@
 	})
 	l.mirror = mirror.New(registry, l.ways, mirror.Settings{OperatorWait: operatorWait, ServersInterval: serversInterval},
 		log, func(view *world.View) {
-			l.note(view)
-			l.nudge()
+			if l.note(view) {
+				l.nudge()
+				notify(l.declaredNow)
+			}
 		})
 	l.done.Go(l.converge)
+	l.done.Go(l.collect)
 	l.done.Go(l.repeatAnnouncements)
 	return l, nil
 }
@@ -139,9 +148,12 @@
 }
 
 // nudge lets the loader look at its engine at once.
-func (l *Loader) nudge() {
+func (l *Loader) nudge() { notify(l.wake) }
+
+// notify wakes a loop that may be awake already.
+func notify(wake chan struct{}) {
 	select {
-	case l.wake <- struct{}{}:
+	case wake <- struct{}{}:
 	default:
 	}
 }
--- a/roster/news.go
+++ b/roster/news.go
@@ -17,4 +17,6 @@
 	Versions map[string]int `json:"versions"`
 	// Loading is set while it takes nothing new.
 	Loading bool `json:"loading,omitempty"`
+	// LoadsInMilliseconds is the time until it is expected to load, 0 when it is not.
+	LoadsInMilliseconds int64 `json:"loads-in-ms,omitempty"`
 }
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -16,6 +16,8 @@
 	Deadline time.Time
 	// Model names the weights that the request runs on, empty for plain services.
 	Model string
+	// Tokens is the number of tokens that it asks for, 0 when it does not say.
+	Tokens int
 	// Tried are the servers that the request was sent to before.
 	Tried []string
 	// Granted receives the server of a request that had to wait.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -46,6 +46,10 @@
 	// beginWeight the weight of a new measurement.
 	beginDefault = 150 * time.Millisecond
 	beginWeight  = 0.04
+	// tokenDefault is the time for a token before any was measured.
+	tokenDefault = 10 * time.Millisecond
+	// loadSlack is how much longer than the time until a load a request may run.
+	loadSlack = 300 * time.Millisecond
 	// beginShare is the part of the time to the first event that is kept of the target
 	// for it. A short prompt begins earlier than the average.
 	beginShare = 0.5
@@ -97,6 +101,8 @@
 	shares map[int]*share
 	// begin is the time from sending to the first event.
 	begin time.Duration
+	// perToken is the time for each token that a request asks for.
+	perToken time.Duration
 }
 
 // server is the state of a backend server.
@@ -112,6 +118,7 @@
 	// registration until aheadUntil.
 	ahead      map[string]int
 	loading    bool
+	loadsAt    time.Time
 	aheadUntil time.Time
 }
 
@@ -151,18 +158,32 @@
 func (s *Scheduler) group(name string) *service {
 	group := s.services[name]
 	if group == nil {
-		group = &service{shares: map[int]*share{}, begin: beginDefault}
+		group = &service{shares: map[int]*share{}, begin: beginDefault, perToken: tokenDefault}
 		s.services[name] = group
 	}
 	return group
 }
 
+// Engine is what the agent beside a server says of it.
+type Engine struct {
+	Address  string
+	Versions map[string]int
+	// Loading is set while the server takes nothing new, LoadsIn is the time until it
+	// is expected to, 0 when it is not.
+	Loading bool
+	LoadsIn time.Duration
+}
+
 // SetEngine takes what the agent beside a server says of it. It holds for a while, in
 // which the server's registration follows.
-func (s *Scheduler) SetEngine(now time.Time, address string, versions map[string]int, loading bool) {
+func (s *Scheduler) SetEngine(now time.Time, engine Engine) {
 	for _, known := range s.servers {
-		if known.Address == address {
-			known.ahead, known.loading, known.aheadUntil = versions, loading, now.Add(aheadFor)
+		if known.Address == engine.Address {
+			known.ahead, known.loading, known.aheadUntil = engine.Versions, engine.Loading, now.Add(aheadFor)
+			known.loadsAt = time.Time{}
+			if engine.LoadsIn > 0 {
+				known.loadsAt = now.Add(engine.LoadsIn)
+			}
 			s.fill(now, s.group(known.Service))
 		}
 	}
@@ -255,6 +276,14 @@
 	group.begin += time.Duration(beginWeight * float64(took-group.begin))
 }
 
+// Generated takes the time from the first to the last event of an answer.
+func (s *Scheduler) Generated(service string, tokens int, took time.Duration) {
+	group := s.group(service)
+	if tokens > 0 {
+		group.perToken += time.Duration(beginWeight * float64(took/time.Duration(tokens)-group.perToken))
+	}
+}
+
 // before orders waiting requests.
 func before(a, b *Request) int {
 	if a.order != b.order {
@@ -290,7 +319,7 @@
 		if !candidate.fits(now, request, version) || now.Before(candidate.until) {
 			continue
 		}
-		if candidate.used() >= candidate.places(request) {
+		if candidate.used() >= candidate.places(request) || candidate.endsTooLate(now, request, group) {
 			continue
 		}
 		load := candidate.load()
@@ -335,6 +364,21 @@
 	return held > 0 && held >= version
 }
 
+// endsTooLate tells whether the server is about to load weights, and the request would
+// run for longer than the time until then. The server would take nothing new while it
+// waits for it. The most urgent requests, which are short, go there all the same.
+func (s *server) endsTooLate(now time.Time, request *Request, group *service) bool {
+	if request.Rank == 0 || now.After(s.aheadUntil) || !now.Before(s.loadsAt) {
+		return false
+	}
+	return now.Add(group.runs(request)).After(s.loadsAt.Add(loadSlack))
+}
+
+// runs returns how long the request is expected to run.
+func (g *service) runs(request *Request) time.Duration {
+	return g.begin + time.Duration(request.Tokens)*g.perToken
+}
+
 // used is the number of requests of all entries at the server.
 func (s *server) used() int {
 	used := s.own
