supply: deal pieces in turn; loader: bound what comes in by how long it takes

Cause: by hash one home of ten had 12 of 96 pieces, and it decided the end; two pieces at once left the link idle.

--- a/loader/draw.go
+++ b/loader/draw.go
@@ -267,11 +267,11 @@
 			continue
 		}
 		host, _, err := net.SplitHostPort(server.Address)
-		if err != nil || host == l.settings.IP || out(host) {
+		if err != nil || host == l.settings.IP {
 			continue
 		}
 		whole := server.Versions[model] == version
-		suppliers = append(suppliers, supply.Supplier{ID: host, AvailabilityZone: server.AvailabilityZone, Complete: whole})
+		suppliers = append(suppliers, supply.Supplier{ID: host, AvailabilityZone: server.AvailabilityZone, Complete: whole, Failed: out(host)})
 		addresses[host], complete[host] = l.peerAddress(server.Address), whole
 	}
 	zone := ""
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -88,8 +88,7 @@
 	// declared holds the boot times at which versions were declared.
 	declared map[string]map[int]time.Duration
 	pacer    pacer
-	// transfers holds a token for each piece that comes in.
-	transfers chan struct{}
+	gate     *gate
 
 	server *fasthttp.Server
 	wake   chan struct{}
@@ -108,9 +107,9 @@
 		counters:  newCounters(metrics.Scope),
 		entryHTTP: relay.NewHTTP(), peerHTTP: newPeerHTTP(), versions: map[string]*shelf{},
 		engines: map[string]engineState{}, declared: map[string]map[int]time.Duration{},
-		transfers: make(chan struct{}, transfers),
-		pacer:     pacer{rate: max(settings.Link*linkShare, leastRate)},
-		wake:      make(chan struct{}, 1), stop: make(chan struct{}),
+		gate:  newGate(),
+		pacer: pacer{rate: max(settings.Link*linkShare, leastRate)},
+		wake:  make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 	listener, err := tcp.Listen(settings.Pieces)
 	if err != nil {
--- a/loader/serve.go
+++ b/loader/serve.go
@@ -29,10 +29,7 @@
 	pieceTimeout = 1500 * time.Millisecond
 	// linkShare is the part of the link that pieces may use. Events of the engine share
 	// the link and may be late by 120 ms at most.
-	linkShare = 0.85
-	// transfers is the number of pieces that come in at once. More would queue on a link
-	// that is squeezed, and hold up what callers send and cancel.
-	transfers = 2
+	linkShare = 0.92
 	// pieceHeader is the length of the number of an offered piece.
 	pieceHeader = 4
 	// wantedLimit bounds the pieces that a request names.
@@ -195,8 +192,8 @@
 		return 0, nil, errors.Errorf("offer: status %d, %d bytes", status, len(body))
 	}
 	piece := int(binary.BigEndian.Uint32(body))
-	l.transfers <- struct{}{}
-	defer func() { <-l.transfers }()
+	began := l.gate.enter()
+	defer l.gate.leave(began)
 	status, body, err = l.get(address, piecePath, model, version, "&piece="+strconv.Itoa(piece))
 	if err == nil && status != fasthttp.StatusOK {
 		err = errors.Errorf("piece: status %d", status)
--- a/supply/supply.go
+++ b/supply/supply.go
@@ -5,17 +5,19 @@
 // others. Agents that know different servers ask different sources for a while, which
 // costs bytes and never correctness, since every piece is verified.
 //
-// While suppliers of the own zone have the version, they share the work by rendezvous
-// hash. For a version that is new to the zone, one agent of the zone is the home of
+// While suppliers of the own zone have the version, they share the work. For a version that is new to the zone, one agent of the zone is the home of
 // each piece: it fetches the piece from another zone, and the others wait for it
 // there. So a piece crosses each link between zones once. In the zone of the origin
 // the home draws the piece from the origin, once for the whole fleet.
+//
+// Pieces are dealt to the suppliers in turn, in the order of their ids: the supplier
+// with the most pieces decides when the last agent is done, and a hash gives one of
+// ten a third more than the average.
 package supply
 
 import (
-	"strconv"
-
-	"github.com/cespare/xxhash/v2"
+	"slices"
+	"strings"
 )
 
 // Origin is the id of the origin of weights among sources.
@@ -27,65 +29,69 @@
 	AvailabilityZone string
 	// Complete is set when its engine has loaded the version.
 	Complete bool
+	// Failed is set while it is left out, because it has failed the asking agent.
+	Failed bool
 }
 
 // Plan says where an agent asks for the pieces of a version.
 type Plan struct {
 	self       Supplier
-	version    string
+	version    int
 	originZone string
-	suppliers  []Supplier
+	// givers have the version; homes are to get it.
+	nearGivers  []Supplier
+	nearHomes   []Supplier
+	givers      []Supplier
+	originHomes []Supplier
 }
 
-// New returns the plan of an agent. Suppliers that have failed it are left out by the
-// caller; the agent itself is not among them.
+// New returns the plan of an agent, which is not among the suppliers.
 func New(self Supplier, version int, suppliers []Supplier, originZone string) *Plan {
-	return &Plan{self: self, version: strconv.Itoa(version), originZone: originZone, suppliers: suppliers}
+	p := &Plan{self: self, version: version, originZone: originZone}
+	all := append(slices.Clone(suppliers), self)
+	slices.SortFunc(all, func(a, b Supplier) int { return strings.Compare(a.ID, b.ID) })
+	for _, supplier := range all {
+		near := supplier.AvailabilityZone == self.AvailabilityZone
+		switch {
+		case supplier.Complete && near:
+			p.nearGivers = append(p.nearGivers, supplier)
+		case near:
+			p.nearHomes = append(p.nearHomes, supplier)
+		}
+		if supplier.Complete {
+			p.givers = append(p.givers, supplier)
+		} else if supplier.AvailabilityZone == originZone {
+			p.originHomes = append(p.originHomes, supplier)
+		}
+	}
+	return p
 }
 
 // Source returns the id of the supplier that an agent asks for a piece, or Origin.
 func (p *Plan) Source(piece int) string {
-	if giver := p.first(piece, func(s Supplier) bool { return s.Complete && p.isNear(s) }); giver != nil {
-		return giver.ID
+	if giver := p.deal(p.nearGivers, piece); giver != Origin {
+		return giver
 	}
-	if home := p.first(piece, func(s Supplier) bool { return p.isNear(s) && !s.Complete }); home != nil && p.outranks(home, piece) {
-		return home.ID
+	if home := p.deal(p.nearHomes, piece); home != Origin && home != p.self.ID {
+		return home
 	}
-	if giver := p.first(piece, func(s Supplier) bool { return s.Complete }); giver != nil {
-		return giver.ID
+	if giver := p.deal(p.givers, piece); giver != Origin {
+		return giver
 	}
 	if p.self.AvailabilityZone != p.originZone {
-		if home := p.first(piece, func(s Supplier) bool { return s.AvailabilityZone == p.originZone }); home != nil {
-			return home.ID
-		}
+		return p.deal(p.originHomes, piece)
 	}
 	return Origin
 }
 
-func (p *Plan) isNear(supplier Supplier) bool {
-	return supplier.AvailabilityZone == p.self.AvailabilityZone
-}
-
-// first returns the supplier with the highest rank for a piece among those that fit.
-func (p *Plan) first(piece int, fits func(Supplier) bool) *Supplier {
-	var best *Supplier
-	highest := uint64(0)
-	for i := range p.suppliers {
-		if !fits(p.suppliers[i]) {
-			continue
-		}
-		if rank := p.rank(p.suppliers[i].ID, piece); best == nil || rank > highest {
-			best, highest = &p.suppliers[i], rank
+// deal returns the supplier whose turn a piece is, or the next one that has not
+// failed.
+func (p *Plan) deal(suppliers []Supplier, piece int) string {
+	for step := range suppliers {
+		supplier := suppliers[(piece+p.version+step)%len(suppliers)]
+		if !supplier.Failed {
+			return supplier.ID
 		}
 	}
-	return best
-}
-
-// outranks tells whether another agent, and not this one, is the home of a piece.
-func (p *Plan) outranks(other *Supplier, piece int) bool {
-	return p.rank(other.ID, piece) > p.rank(p.self.ID, piece)
-}
-
-func (p *Plan) rank(id string, piece int) uint64 {
-	return xxhash.Sum64String(id + "/" + p.version + "/" + strconv.Itoa(piece))
+	return Origin
 }
--- /dev/null
+++ b/supply/supply_test.go
@@ -0,0 +1,97 @@
+package supply_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/onsi/gomega"
+
+	"github.com/fuchsiarouter/fuchsiarouter/supply"
+)
+
+const pieces = 96
+
+// fleet returns agents in three zones, of which the first has the origin.
+func fleet(each int) []supply.Supplier {
+	var all []supply.Supplier
+	for _, zone := range []string{"a", "b", "c"} {
+		for i := range each {
+			all = append(all, supply.Supplier{ID: fmt.Sprintf("%s%02d", zone, i), AvailabilityZone: zone})
+		}
+	}
+	return all
+}
+
+func plan(all []supply.Supplier, self int) *supply.Plan {
+	var others []supply.Supplier
+	for i, supplier := range all {
+		if i != self {
+			others = append(others, supplier)
+		}
+	}
+	return supply.New(all[self], 2, others, "a")
+}
+
+// TestOriginGivesEachPieceOnce guards against an origin whose slow link sends a piece
+// to more than one agent, and against pieces that cross a link between zones twice.
+func TestOriginGivesEachPieceOnce(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := fleet(9)
+	zoneOf := map[string]string{}
+	for _, supplier := range all {
+		zoneOf[supplier.ID] = supplier.AvailabilityZone
+	}
+	drawn, crossed, given := map[int]int{}, map[string]int{}, map[string]int{}
+	for self, agent := range all {
+		p := plan(all, self)
+		for piece := range pieces {
+			source := p.Source(piece)
+			given[source]++
+			switch {
+			case source == supply.Origin:
+				drawn[piece]++
+			case zoneOf[source] != agent.AvailabilityZone:
+				crossed[fmt.Sprint(agent.AvailabilityZone, piece)]++
+			}
+		}
+	}
+	g.Expect(drawn).To(gomega.HaveLen(pieces))
+	for _, times := range drawn {
+		g.Expect(times).To(gomega.Equal(1))
+	}
+	g.Expect(crossed).To(gomega.HaveLen(2 * pieces))
+	for _, times := range crossed {
+		g.Expect(times).To(gomega.Equal(1))
+	}
+	// Nine agents share 96 pieces; one with a third more would decide the end.
+	for id, count := range given {
+		if id != supply.Origin {
+			g.Expect(count).To(gomega.BeNumerically("<=", 11*10))
+		}
+	}
+}
+
+// TestNearGiversGoFirst guards against links between zones and an origin that carry
+// what the own zone has.
+func TestNearGiversGoFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := fleet(4)
+	for i := range all {
+		all[i].Complete = i%4 != 3
+	}
+	p := plan(all, 7)
+	for piece := range pieces {
+		g.Expect(p.Source(piece)).To(gomega.HavePrefix("b"))
+	}
+}
+
+// TestFailedSuppliersAreLeftOut guards against waiting for an agent that is dead.
+func TestFailedSuppliersAreLeftOut(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := fleet(3)
+	all[0].Failed, all[1].Failed = true, true
+	p := plan(all, 2)
+	for piece := range pieces {
+		g.Expect(p.Source(piece)).To(gomega.Equal(supply.Origin))
+	}
+}
