--- a/loader/draw.go
+++ b/loader/draw.go
@@ -20,11 +20,13 @@
 const (
 	// replanInterval is the time after which the sources are chosen anew.
 	replanInterval = 400 * time.Millisecond
-	// failedFor is how long a source that failed is left out.
-	failedFor = 2 * time.Second
+	// failedFor is how long a source that failed is left out. A frozen machine stands
+	// still for about 8 s, and each question to it costs a second.
+	failedFor = 12 * time.Second
 	// barren is the number of waits in a row without a piece after which a source is
-	// left out.
-	barren = 3
+	// left out, for barrenFor: it may be waiting itself.
+	barren    = 3
+	barrenFor = 1500 * time.Millisecond
 	// originDraws is the number of pieces that one agent draws from the origin at once.
 	originDraws = 2
 )
@@ -46,10 +48,11 @@
 	// complete are the sources that have every piece.
 	complete map[string]bool
 	running  map[string]int
-	failed   map[string]time.Time
-	bad      int
-	done     sync.WaitGroup
-	ended    bool
+	// leftOut is the time until which a source is not asked.
+	leftOut map[string]time.Time
+	bad     int
+	done    sync.WaitGroup
+	ended   bool
 }
 
 // fill fetches the missing pieces of a version until all are there.
@@ -57,7 +60,7 @@
 	l.reuse(model, shelf)
 	d := &draw{
 		loader: l, model: model, version: version, shelf: shelf, asked: map[int]int{},
-		running: map[string]int{}, failed: map[string]time.Time{},
+		running: map[string]int{}, leftOut: map[string]time.Time{},
 	}
 	defer d.end()
 	ticker := time.NewTicker(replanInterval)
@@ -105,7 +108,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	plan, addresses, complete := d.loader.plan(view, d.model, d.version, func(id string) bool {
-		return now.Sub(d.failed[id]) < failedFor
+		return now.Before(d.leftOut[id])
 	})
 	d.wanted = map[string][]int{}
 	for _, piece := range d.shelf.left() {
@@ -172,13 +175,13 @@
 	}
 }
 
-// leave ends a loop. A source that failed is left out for a while.
-func (d *draw) leave(source string, failed bool) {
+// leave ends a loop. The source is left out for a while if it has failed.
+func (d *draw) leave(source string, out time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.running[source]--
-	if failed {
-		d.failed[source] = time.Now()
+	if out > 0 {
+		d.leftOut[source] = time.Now().Add(out)
 	}
 }
 
@@ -203,7 +206,7 @@
 	for {
 		wanted := d.next(source)
 		if len(wanted) == 0 {
-			d.leave(source, false)
+			d.leave(source, 0)
 			return
 		}
 		if d.complete[source] {
@@ -217,17 +220,17 @@
 		switch {
 		case err != nil:
 			d.loader.log.Info("source failed", zap.String("source", source), zap.Int("version", d.version), telemetry.Cause(err))
-			d.leave(source, true)
+			d.leave(source, failedFor)
 			return
 		case piece < 0:
 			if empty++; empty >= barren {
 				d.loader.log.Info("source has no piece", zap.String("source", source), zap.Int("version", d.version))
-				d.leave(source, true)
+				d.leave(source, barrenFor)
 				return
 			}
 		case !d.take(source, piece, content):
 			if failures++; failures > 1 {
-				d.leave(source, true)
+				d.leave(source, failedFor)
 				return
 			}
 		default:
@@ -241,7 +244,7 @@
 		wanted := d.next(supply.Origin)
 		origin := view.Configuration.Origin()
 		if len(wanted) == 0 || origin == nil {
-			d.leave(supply.Origin, false)
+			d.leave(supply.Origin, 0)
 			return
 		}
 		d.claim(wanted[:1], 1)
--- a/loader/serve.go
+++ b/loader/serve.go
@@ -23,10 +23,10 @@
 	piecePath    = "/piece"
 	manifestPath = "/manifest"
 	// pieceWait bounds how long a loader waits for a piece that another one is fetching.
-	pieceWait = 700 * time.Millisecond
-	// pieceTimeout bounds a piece beyond the wait for it. A piece takes 27 ms on an
-	// agent's link, and as many loaders as a zone has ask at once.
-	pieceTimeout = 1500 * time.Millisecond
+	pieceWait = 500 * time.Millisecond
+	// pieceTimeout bounds an answer beyond that wait. A piece takes 27 ms on an agent's
+	// link, 220 ms on one that is squeezed, and ten loaders of a zone ask at once.
+	pieceTimeout = 800 * time.Millisecond
 	// linkShare is the part of the link that pieces may use. Events of the engine share
 	// the link and may be late by 120 ms at most.
 	linkShare = 0.92
@@ -44,15 +44,19 @@
 	free time.Time
 }
 
-// wait returns when so many bytes may be sent.
-func (p *pacer) wait(size int) {
+// wait returns when so many bytes may be sent. An idle link may be filled.
+func (p *pacer) wait(size int, idle bool) {
 	p.mu.Lock()
 	now := time.Now()
 	at := p.free
 	if at.Before(now) {
 		at = now
 	}
-	p.free = at.Add(time.Duration(float64(size) / p.rate * float64(time.Second)))
+	rate := p.rate
+	if idle {
+		rate /= linkShare
+	}
+	p.free = at.Add(time.Duration(float64(size) / rate * float64(time.Second)))
 	p.mu.Unlock()
 	time.Sleep(at.Sub(now))
 }
@@ -104,7 +108,7 @@
 		ctx.SetStatusCode(fasthttp.StatusNoContent)
 		return
 	}
-	l.pacer.wait(len(content))
+	l.pacer.wait(len(content), l.held(model) == 0)
 	ctx.SetBody(binary.BigEndian.AppendUint32(nil, uint32(piece)))
 }
 
