--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -208,7 +208,7 @@
 		return nil, err
 	}
 	i.mu.Lock()
-	i.scheduler.Began(r.service, time.Since(sentAt))
+	i.scheduler.Began(r.service, r.rank, time.Since(sentAt))
 	i.mu.Unlock()
 	return &sent{server: server, answer: answer, reply: i.dialect.Reply(answer.Header, r.ID)}, nil
 }
@@ -254,6 +254,9 @@
 	if !notRun {
 		r.runs++
 	}
+	if err != nil && outcome == schedule.Failed && time.Until(r.deadline) > 0 {
+		i.done.Go(func() { i.examine(server, r.fingerprint) })
+	}
 	i.requests.write("sending failed", []zap.Field{
 		zap.String("request-id", r.ID), zap.String("server", server.ID), zap.Int("status", status),
 		zap.Bool("not-run", notRun), zap.Int("attempt", r.attempts), telemetry.Cause(err),
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -49,6 +49,9 @@
 	// viewAge is how old the configuration may be.
 	viewAge time.Duration
 
+	// fingerprint is the same for a request that comes again.
+	fingerprint string
+
 	// left ends when the caller leaves.
 	left   context.Context
 	cancel context.CancelFunc
@@ -140,6 +143,10 @@
 		}
 		r.workspace = workspace.Name
 	}
+	r.fingerprint = fingerprint(&r.ctx.Request, r.Key)
+	if i.isRefused(r.fingerprint) {
+		return &result.Error{Code: result.CrashedServers, Message: "the request has crashed servers", RetryAfter: crashRetry}
+	}
 	wait := r.route.Timeout
 	if wait <= 0 {
 		wait = waitDefault
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -25,6 +25,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
 	"github.com/fuchsiarouter/fuchsiarouter/exchange"
 	"github.com/fuchsiarouter/fuchsiarouter/mirror"
+	"github.com/fuchsiarouter/fuchsiarouter/quarantine"
 	"github.com/fuchsiarouter/fuchsiarouter/relay"
 	"github.com/fuchsiarouter/fuchsiarouter/roster"
 	"github.com/fuchsiarouter/fuchsiarouter/schedule"
@@ -104,6 +105,7 @@
 	// targets are the declared versions that are not required yet, by model.
 	targets map[string][]world.Target
 
+	strikes *quarantine.List
 	// waits is the longest that callers of a route wait.
 	waits map[string]time.Duration
 
@@ -128,6 +130,7 @@
 		settings: settings, dialect: dialect, registry: registry, exchange: exchange.New(), log: log,
 		requests: newRequestLog(log), counters: newCounters(metrics.Scope),
 		scheduler: schedule.New(settings.AvailabilityZone), resends: map[string]*resendWindow{}, waits: map[string]time.Duration{},
+		strikes: quarantine.New(quarantine.Settings{Keep: strikesKept, RefuseFrom: strikesRefused}),
 		targets: map[string][]world.Target{}, peerHTTP: relay.NewHTTP(), started: time.Now().UnixMilli(),
 		stop: make(chan struct{}),
 	}
--- a/ingress/news.go
+++ b/ingress/news.go
@@ -65,7 +65,7 @@
 // broadcast sends news to the entries that are due.
 func (i *Ingress) broadcast(now time.Time) {
 	i.mu.Lock()
-	message := roster.News{Entry: i.describe(), Load: i.scheduler.Own()}
+	message := roster.News{Entry: i.describe(), Load: i.scheduler.Own(), Strikes: i.strikes.Strikes(now, strikesTold)}
 	recipients := i.roster.Recipients(now)
 	i.mu.Unlock()
 	if len(recipients) == 0 {
@@ -120,6 +120,7 @@
 		i.mu.Lock()
 		fresh := i.roster.Hear(now, message.Entry)
 		i.scheduler.SetOthers(now, message.Entry.Peers, message.Load)
+		i.strikes.Merge(now, message.Strikes)
 		i.mu.Unlock()
 		if fresh {
 			i.log.Info("entry heard", zap.String("peer", message.Entry.Name))
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -27,6 +27,8 @@
 	Keep time.Duration
 	// Limit bounds the fingerprints with strikes; the oldest are dropped first.
 	Limit int
+	// RefuseFrom is the number of strikes from which a fingerprint is refused.
+	RefuseFrom int
 }
 
 // Defaults of Settings.
@@ -35,8 +37,9 @@
 	DefaultLimit = 10000
 )
 
-// refuseFrom is the number of strikes from which a fingerprint is refused.
-const refuseFrom = 2
+// DefaultRefuseFrom is the default number of strikes from which a fingerprint is
+// refused.
+const DefaultRefuseFrom = 2
 
 // maxSkew bounds how far ahead of the own clock the time of a strike may be.
 // A strike from a daemon with a wrong clock would else be kept for too long.
@@ -77,6 +80,9 @@
 
 // New returns a List without strikes.
 func New(settings Settings) *List {
+	if settings.RefuseFrom <= 0 {
+		settings.RefuseFrom = DefaultRefuseFrom
+	}
 	if settings.Keep <= 0 {
 		settings.Keep = DefaultKeep
 	}
@@ -185,7 +191,7 @@
 			l.suspects[strike.Fingerprint] = s
 		}
 		// Above the refusal limit more deaths change nothing but the memory.
-		if _, known := s.deaths[strike.Crash]; known || len(s.deaths) >= refuseFrom {
+		if _, known := s.deaths[strike.Crash]; known || len(s.deaths) >= l.settings.RefuseFrom {
 			continue
 		}
 		s.deaths[strike.Crash] = at
@@ -226,7 +232,7 @@
 		return Run
 	}
 	switch {
-	case len(s.deaths) >= refuseFrom:
+	case len(s.deaths) >= l.settings.RefuseFrom:
 		return Refuse
 	case s.cleared:
 		return Run
--- a/result/result.go
+++ b/result/result.go
@@ -83,6 +83,7 @@
 	OutcomeUnknown   = Code{3006, "outcome-unknown", 503, RanMaybe, AgainSameKey}
 	Timeout          = Code{3005, "timeout", 504, RanMaybe, AgainIdempotent}
 	Quarantined      = Code{4001, "quarantined", 422, RanNo, AgainNo}
+	CrashedServers   = Code{4002, "crashed-servers", 503, RanNo, AgainNo}
 	Internal         = Code{5001, "internal", 500, RanMaybe, AgainIdempotent}
 )
 
@@ -93,7 +94,7 @@
 		BodyTooLarge, KeyRequired, KeyMalformed, KeyExpired, KeyReused, HeadTooLarge, RateLimited, TooMany,
 		QueueFull, Unreachable, NoServer, Leaving, LogUnavailable, VersionNotLoaded,
 		NotReady, Preempted, CallerLeft, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
-		Quarantined, Internal,
+		Quarantined, CrashedServers, Internal,
 	}
 }
 
--- a/roster/news.go
+++ b/roster/news.go
@@ -1,11 +1,15 @@
 package roster
 
+import "github.com/fuchsiarouter/fuchsiarouter"
+
 // News is what daemons tell entries several times a second.
 type News struct {
 	// Entry is set in the news of an entry.
 	Entry Entry `json:"entry"`
 	// Load holds the number of requests that the entry has at each server.
 	Load map[string]int `json:"load,omitempty"`
+	// Strikes are requests that were in progress at servers that crashed.
+	Strikes []fuchsiarouter.Strike `json:"strikes,omitempty"`
 	// Engine is set in the news of an agent.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -50,9 +50,10 @@
 	tokenDefault = 10 * time.Millisecond
 	// loadSlack is how much longer than the time until a load a request may run.
 	loadSlack = 300 * time.Millisecond
-	// beginShare is the part of the time to the first event that is kept of the target
-	// for it. A short prompt begins earlier than the average.
-	beginShare = 0.5
+	// leastPatience is the part of the target for which any request may wait.
+	leastPatience = 0.35
+	// leastPart is the least part of the places that a rank is expected to get.
+	leastPart = 0.25
 	// lateRanks is how much less urgent a request counts that is late already: its
 	// answer earns about as much for the time of an engine as one two ranks below.
 	lateRanks = 2
@@ -97,10 +98,7 @@
 	waiting []*Request
 	// ended is the pace at which requests of this entry end.
 	ended pace
-	// shares is the served part by rank.
-	shares map[int]*share
-	// begin is the time from sending to the first event.
-	begin time.Duration
+	ranks map[int]*rank
 	// perToken is the time for each token that a request asks for.
 	perToken time.Duration
 }
@@ -158,7 +156,7 @@
 func (s *Scheduler) group(name string) *service {
 	group := s.services[name]
 	if group == nil {
-		group = &service{shares: map[int]*share{}, begin: beginDefault, perToken: tokenDefault}
+		group = &service{ranks: map[int]*rank{}, perToken: tokenDefault}
 		s.services[name] = group
 	}
 	return group
@@ -221,14 +219,16 @@
 func (s *Scheduler) Offer(now time.Time, request *Request) Grant {
 	group := s.group(request.Service)
 	late := request.late(now)
-	share := group.share(request.Rank)
-	if len(request.Tried) == 0 && !late {
-		share.ask(now)
+	rank := group.rank(request.Rank)
+	counted := len(request.Tried) == 0 && !late
+	if counted {
+		rank.share.ask(now)
 	}
 	if chosen := s.choose(now, group, request); chosen != nil {
 		chosen.own++
-		if len(request.Tried) == 0 && !late {
-			share.grant(now)
+		rank.granted.count(now)
+		if counted {
+			rank.share.grant(now)
 		}
 		return Grant{Server: chosen.ID}
 	}
@@ -236,7 +236,7 @@
 		return Grant{Reason: NoServer, RetryAfter: retryMost / 4}
 	}
 	request.order = request.Rank
-	request.patience = request.Target.Add(-time.Duration(beginShare * float64(group.begin)))
+	request.patience = rank.patience(request)
 	if late {
 		request.order += lateRanks
 		request.patience = now.Add(min(latePatience, request.Deadline.Sub(now)/4))
@@ -253,15 +253,6 @@
 	return Grant{Waited: true}
 }
 
-func (g *service) share(rank int) *share {
-	known := g.shares[rank]
-	if known == nil {
-		known = &share{}
-		g.shares[rank] = known
-	}
-	return known
-}
-
 // comeBack returns when a refused request may come back: after the requests that wait
 // have been served, at different moments for those that are refused together.
 func (g *service) comeBack(now time.Time, wait time.Duration) time.Duration {
@@ -271,9 +262,9 @@
 }
 
 // Began takes the time from sending to the first event of a request.
-func (s *Scheduler) Began(service string, took time.Duration) {
-	group := s.group(service)
-	group.begin += time.Duration(beginWeight * float64(took-group.begin))
+func (s *Scheduler) Began(service string, order int, took time.Duration) {
+	rank := s.group(service).rank(order)
+	rank.begin += time.Duration(beginWeight * float64(took-rank.begin))
 }
 
 // Generated takes the time from the first to the last event of an answer.
@@ -298,15 +289,22 @@
 	return 0
 }
 
-// wait returns how long a new request is expected to wait.
+// wait returns how long a new request is expected to wait: for those of its own order
+// that wait before it, at the pace at which its rank gets places. A rank that got few
+// lately is expected to get a part of all, since the smallest served part goes first.
 func (g *service) wait(now time.Time, request *Request) time.Duration {
 	ahead := 1
 	for _, waiting := range g.waiting {
-		if waiting.order <= request.order {
+		if waiting.order == request.order {
 			ahead++
 		}
 	}
-	return time.Duration(float64(ahead) / max(g.ended.value(now), rateLeast) * float64(time.Second))
+	all := max(g.ended.value(now), rateLeast)
+	own := max(g.rank(request.Rank).granted.value(now), all*leastPart)
+	if request.order == 0 {
+		own = all
+	}
+	return time.Duration(float64(ahead) / own * float64(time.Second))
 }
 
 // choose returns the server with the least load that has a free place, or nil.
@@ -376,7 +374,7 @@
 
 // runs returns how long the request is expected to run.
 func (g *service) runs(request *Request) time.Duration {
-	return g.begin + time.Duration(request.Tokens)*g.perToken
+	return g.rank(request.Rank).begin + time.Duration(request.Tokens)*g.perToken
 }
 
 // used is the number of requests of all entries at the server.
@@ -481,8 +479,10 @@
 		}
 		chosen.own++
 		s.Cancel(request)
+		rank := group.rank(request.Rank)
+		rank.granted.count(now)
 		if request.order == request.Rank && len(request.Tried) == 0 {
-			group.share(request.Rank).grant(now)
+			rank.share.grant(now)
 		}
 		request.Granted(Grant{Server: chosen.ID})
 	}
@@ -506,7 +506,7 @@
 		}
 		value := 1.0
 		if request.order == request.Rank {
-			value = g.share(request.Rank).value()
+			value = g.rank(request.Rank).share.value()
 		}
 		value *= bias
 		bias /= rankBias
--- a/schedule/share.go
+++ b/schedule/share.go
@@ -8,6 +8,30 @@
 // shareWindow is the time over which the served share of a rank is averaged.
 const shareWindow = 4 * time.Second
 
+// rank is the state of one rank of a service.
+type rank struct {
+	share share
+	// granted is the pace at which requests of the rank get places.
+	granted pace
+	// begin is the time from sending to the first event.
+	begin time.Duration
+}
+
+// patience returns the time until which it makes sense for a request to wait.
+func (r *rank) patience(request *Request) time.Time {
+	wait := request.Target.Sub(request.Arrived)
+	return request.Arrived.Add(max(wait-r.begin, time.Duration(leastPatience*float64(wait))))
+}
+
+func (g *service) rank(order int) *rank {
+	known := g.ranks[order]
+	if known == nil {
+		known = &rank{begin: beginDefault}
+		g.ranks[order] = known
+	}
+	return known
+}
+
 // share is the part of the requests of one rank that were granted lately.
 type share struct {
 	asked   float64
