ingress: callers' deadlines differ by 15 %

Change: only a deadline below 0.84 of the longest counts as coming back; the log has the time to the first event and the time since the first attempt.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -23,9 +23,9 @@
 	sendings = 4
 	// answerLimit bounds an answer that is not streamed, in bytes.
 	answerLimit = 16 << 20
-	// elapsedLeast is the difference between two deadlines of one route from which the
-	// shorter one tells that the caller comes back.
-	elapsedLeast = 5 * time.Millisecond
+	// waitSpread is the shortest time that callers of a route wait at first, as a part of
+	// the longest. Callers' deadlines differ by 15 %.
+	waitSpread = 0.84
 	// leastWait is the least time that makes a sending worth while.
 	leastWait = 3 * time.Millisecond
 )
@@ -49,9 +49,10 @@
 	if target <= 0 {
 		target = r.route.Timeout
 	}
+	r.before = i.elapsed(r)
 	r.schedule = schedule.Request{
 		Service: r.service, Rank: r.rank, Workspace: r.workspace, Arrived: r.received,
-		Target: r.received.Add(target - i.elapsed(r)), Deadline: r.deadline,
+		Target: r.received.Add(target - r.before), Deadline: r.deadline,
 	}
 	if r.route.Generates {
 		r.schedule.Model, r.schedule.Tokens = r.Model, r.AnswerTokens
@@ -81,20 +82,17 @@
 	}
 }
 
-// elapsed returns how long ago the caller sent the request for the first time: it
-// waits for less than callers of the route do at first.
+// elapsed returns how long ago, at least, the caller sent the request for the first
+// time: it waits for less than any caller of the route does at first.
 func (i *Ingress) elapsed(r *request) time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	usual := i.waits[r.route.Name]
-	if r.Wait > usual {
-		i.waits[r.route.Name] = r.Wait
+	i.waits[r.route.Name] = max(i.waits[r.route.Name], r.Wait)
+	least := time.Duration(float64(i.waits[r.route.Name]) * waitSpread)
+	if r.Wait == 0 || r.Wait >= least {
 		return 0
 	}
-	if r.Wait == 0 || usual-r.Wait < elapsedLeast {
-		return 0
-	}
-	return usual - r.Wait
+	return least - r.Wait
 }
 
 // send sends the request until a server gives an answer that goes to the caller, of
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -62,8 +62,12 @@
 	runs     int
 	attempts int
 	waited   time.Duration
-	server   string
-	ended    bool
+	// began is the time from the arrival to the first event of a stream.
+	began time.Duration
+	// before is how long ago the caller sent the request for the first time.
+	before time.Duration
+	server string
+	ended  bool
 }
 
 // serve answers a caller.
@@ -260,6 +264,12 @@
 	if r.configuration != nil {
 		fields = append(fields, zap.Int64("configuration", r.configuration.Version))
 	}
+	if r.began > 0 {
+		fields = append(fields, zap.Duration("first-event", r.began))
+	}
+	if r.before > 0 {
+		fields = append(fields, zap.Duration("first-sent-before", r.before))
+	}
 	if r.route != nil {
 		fields = append(fields, zap.String("route", r.route.Name), zap.String("service", r.service))
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -59,8 +59,9 @@
 			return failure
 		}
 	}
-	i.counters.firstEvent(time.Since(r.received))
 	e.began = time.Now()
+	r.began = e.began.Sub(r.received)
+	i.counters.firstEvent(r.began)
 	i.accept(r, e.current)
 	r.ctx.Response.SetBodyStream(e, -1)
 	return nil
