schedule: a batch below its slots, places reserved from ranks served better

Change: ranks below the most urgent fill 0.85 of the slots, 0.75 while a larger part of theirs is served than of the rank above.

--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -21,6 +21,7 @@
 package schedule
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -30,12 +31,19 @@
 )
 
 const (
-	// urgentOvercommit and overcommit are the numbers of places beyond the slots of an
-	// engine, for the most urgent rank and for the others. An engine admits at the end
-	// of a pass of some 80 ms, so that a request which waits there takes a free slot one
-	// pass earlier.
+	// batchShare is the part of the slots of an engine that requests below the most
+	// urgent rank may fill. An engine reads prompts one after the other between the
+	// tokens of what it writes, so with a full batch the first event comes late.
+	batchShare = 0.85
+	// rankExcess is how much smaller the served part of a rank is to be than that of the
+	// rank above.
+	rankExcess = 1.05
+	// rankReserve is the part of the slots that is kept from a rank while a larger part
+	// of its requests is served than of the rank above.
+	rankReserve = 0.1
+	// urgentOvercommit is the number of places beyond the slots for the most urgent
+	// rank: a request that waits at the engine takes a free slot one pass earlier.
 	urgentOvercommit = 2
-	overcommit       = 1
 	// plainOvercommit is the number of places beyond the slots of a plain service. Its
 	// requests take a few ms, as long as the news of a free slot.
 	plainOvercommit = 4
@@ -317,7 +325,7 @@
 		if !candidate.fits(now, request, version) || now.Before(candidate.until) {
 			continue
 		}
-		if candidate.used() >= candidate.places(request) || candidate.endsTooLate(now, request, group) {
+		if candidate.used() >= candidate.places(request, group) || candidate.endsTooLate(now, request, group) {
 			continue
 		}
 		load := candidate.load()
@@ -390,7 +398,7 @@
 func (s *server) load() float64 { return float64(s.used()) / float64(max(s.Slots, 1)) }
 
 // places is the number of requests up to which the server takes another one.
-func (s *server) places(request *Request) int {
+func (s *server) places(request *Request, group *service) int {
 	slots := max(s.Slots, 1)
 	switch {
 	case request.Model == "":
@@ -398,7 +406,11 @@
 	case request.Rank == 0:
 		return slots + urgentOvercommit
 	}
-	return slots + overcommit
+	part := batchShare
+	if group.exceeds(request.Rank) {
+		part -= rankReserve
+	}
+	return int(math.Ceil(float64(slots) * part))
 }
 
 // Outcome is how a sending ended.
@@ -517,6 +529,13 @@
 	return best
 }
 
+// exceeds tells whether a larger part of a rank's requests is served than of the rank
+// above.
+func (g *service) exceeds(rank int) bool {
+	above := g.ranks[rank-1]
+	return rank > 1 && above != nil && g.rank(rank).share.value()*rankExcess > above.share.value()
+}
+
 // full tells whether every slot of the servers that take requests is in use.
 func (g *service) full() bool {
 	for _, candidate := range g.servers {
