--- a/loader/draw.go
+++ b/loader/draw.go
@@ -51,7 +51,6 @@
 	// leftOut is the time until which a source is not asked.
 	leftOut map[string]time.Time
 	bad     int
-	done    sync.WaitGroup
 	ended   bool
 }
 
--- a/world/configuration.go
+++ b/world/configuration.go
@@ -157,7 +157,8 @@
 
 // AddRoute adds a route.
 func (c *Configuration) AddRoute(route *Route) {
-	routes := append(c.routes[route.Host], route)
+	routes := c.routes[route.Host]
+	routes = append(routes, route)
 	sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	c.routes[route.Host] = routes
 }
