ingress: take requests back from servers that stand still; mirror: age of a version

Change: a server that makes no progress on any request for 0.9 s gives its repeatable requests back and is tried by one request at a time; a version counts from the last read that did not fail.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -191,20 +191,21 @@
 	})
 	head = append(head, body...)
 	sentAt := time.Now()
-	begin := r.left
+	begin, cancel := context.WithCancel(r.left)
 	if r.schedule.Model != "" {
 		if wait, bounded := i.beginBy(server.ID, r.schedule.Model); bounded {
-			var cancel context.CancelFunc
-			begin, cancel = context.WithCancel(r.left)
 			timer := time.AfterFunc(max(wait, 0), cancel)
 			defer timer.Stop()
 		}
 	}
+	r.sending = &sending{server: server.ID, cancel: cancel, repeatable: r.route.Idempotent()}
+	i.stalls.begin(sentAt, r.sending)
 	answer, err := i.exchange.Send(begin, exchange.Target{Address: server.Address, ID: server.ID, Born: server.Born},
 		head, r.deadline, func(header *fasthttp.ResponseHeader) bool { return i.dialect.Reply(header, r.ID).Mine })
 	if err != nil {
 		return nil, err
 	}
+	i.stalls.note(time.Now(), server.ID)
 	i.mu.Lock()
 	i.scheduler.Began(r.service, r.rank, time.Since(sentAt))
 	i.mu.Unlock()
@@ -324,6 +325,11 @@
 
 // released takes the request off its server.
 func (i *Ingress) released(r *request, server string, outcome schedule.Outcome) {
+	if r.sending != nil {
+		i.stalls.end(r.sending)
+		r.sending.cancel()
+		r.sending = nil
+	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.scheduler.Release(time.Now(), server, r.service, outcome)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -58,6 +58,8 @@
 	watch  *caller.Watch
 
 	schedule schedule.Request
+	// sending is set while the request is at a server.
+	sending *sending
 	// runs is the number of servers that may have run the request.
 	runs     int
 	attempts int
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -106,6 +106,7 @@
 	targets map[string][]world.Target
 
 	strikes *quarantine.List
+	stalls  *stalls
 	// waits is the longest that callers of a route wait.
 	waits map[string]time.Duration
 
@@ -129,7 +130,7 @@
 	i := &Ingress{
 		settings: settings, dialect: dialect, registry: registry, exchange: exchange.New(), log: log,
 		requests: newRequestLog(log), counters: newCounters(metrics.Scope),
-		scheduler: schedule.New(settings.AvailabilityZone), resends: map[string]*resendWindow{}, waits: map[string]time.Duration{},
+		scheduler: schedule.New(settings.AvailabilityZone), resends: map[string]*resendWindow{}, waits: map[string]time.Duration{}, stalls: newStalls(),
 		strikes: quarantine.New(quarantine.Settings{Keep: strikesKept, RefuseFrom: strikesRefused}),
 		targets: map[string][]world.Target{}, peerHTTP: relay.NewHTTP(), started: time.Now().UnixMilli(),
 		stop: make(chan struct{}),
@@ -235,6 +236,7 @@
 			i.require()
 			i.scheduler.Tick(now)
 			i.mu.Unlock()
+			i.takeBack(now)
 			if now.Sub(swept) > time.Second {
 				swept = now
 				servers := i.mirror.View().Servers
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -76,6 +76,9 @@
 	}
 	n, err := e.current.answer.Read(e.pending[len(e.pending):cap(e.pending)])
 	e.pending = e.pending[:len(e.pending)+n]
+	if n > 0 {
+		e.ingress.stalls.note(time.Now(), e.current.server.ID)
+	}
 	if at := bytes.LastIndex(e.pending, eventEnd); at >= 0 {
 		e.ready = at + len(eventEnd)
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -132,6 +132,8 @@
 	// sent is the boot time at which the read was sent, received that of its answer.
 	sent     time.Duration
 	received time.Duration
+	// before is the boot time of the answer to the read before that did not fail.
+	before time.Duration
 	// first is set for the first read, whose records may be of any age.
 	first bool
 }
@@ -140,11 +142,15 @@
 const answerDelay = 100 * time.Millisecond
 
 // writtenBy returns a boot time at which the records of the batch may have been
-// written at the earliest: an answer that was waited for brings a record at once.
+// written at the earliest: an answer that was waited for brings a record at once. After
+// a read that failed they may have been there since the last one that did not.
 func (b *batch) writtenBy() time.Duration {
 	if b.first {
 		return 0
 	}
+	if b.sent-b.before > answerDelay {
+		return b.before
+	}
 	return max(b.sent, b.received-answerDelay)
 }
 
@@ -152,6 +158,7 @@
 func (m *Mirror) follow(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(batch)) {
 	next, whole, failing := int64(0), true, false
 	path := path{}
+	before := time.Duration(0)
 	for {
 		ways := m.ways()
 		way, probing := path.choose(time.Now(), len(ways))
@@ -163,7 +170,7 @@
 		if err == nil && read.Age > 0 && int64(read.sent-read.Age) <= confirmed.Load() {
 			err = errStale
 		}
-		read.first = confirmed.Load() < 0
+		read.first, read.before = confirmed.Load() < 0, before
 		var expired *fuchsiarouter.ExpiredError
 		switch {
 		case errors.As(err, &expired):
@@ -191,6 +198,7 @@
 			failing = false
 		}
 		path.worked(way)
+		before = read.received
 		apply(read)
 		next = read.End
 		if at := int64(read.sent - read.Age); at > confirmed.Load() {
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -258,3 +258,29 @@
 		g.Expect(after.Age).To(gomega.BeNumerically(">", 0))
 	})
 }
+
+// TestVersionAfterALostRead guards against a version whose deadline is counted from the
+// moment at which a daemon that could not read at last did.
+func TestVersionAfterALostRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newStore()
+		began := time.Now()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		m := start(registry)
+		defer m.Close()
+		time.Sleep(3 * time.Second)
+		registry.set(func() { registry.down = true })
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "2")
+		written := time.Since(began)
+		time.Sleep(3 * time.Second)
+		registry.set(func() { registry.down = false })
+		time.Sleep(time.Second)
+		g.Expect(m.View().Targets["m"].Version).To(gomega.Equal(2))
+		g.Expect(m.View().Targets["m"].Seen).To(gomega.BeNumerically("<=", written))
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "3")
+		written = time.Since(began)
+		time.Sleep(2 * time.Second)
+		g.Expect(m.View().Targets["m"].Seen).To(gomega.BeNumerically("~", written, 150*time.Millisecond))
+	})
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -76,6 +76,10 @@
 	// running it, twice as long for each further failure in a row.
 	ejection     = 300 * time.Millisecond
 	ejectionMost = 4 * time.Second
+	// stallRest is how long a server that makes no progress gets nothing, twice as long
+	// each further time, up to stallDoublings times. It is then tried by one request.
+	stallRest      = 2 * time.Second
+	stallDoublings = 2
 	// aheadFor is how long the word of an agent goes before a registration. Agents
 	// repeat it for 2.5 s, and registrations follow within a heartbeat of 1.2 s.
 	aheadFor = 1500 * time.Millisecond
@@ -119,7 +123,9 @@
 	others map[string]int
 	// failures counts the sendings in a row that the server refused or failed.
 	failures int
-	until    time.Time
+	// stalls counts how often in a row it made no progress.
+	stalls int
+	until  time.Time
 	// ahead is what the agent beside the server says of it, which is newer than its
 	// registration until aheadUntil.
 	ahead      map[string]int
@@ -325,6 +331,9 @@
 		if !candidate.fits(now, request, version) || now.Before(candidate.until) {
 			continue
 		}
+		if candidate.stalls > 0 && candidate.own > 0 {
+			continue
+		}
 		if candidate.used() >= candidate.places(request, group) || candidate.endsTooLate(now, request, group) {
 			continue
 		}
@@ -438,7 +447,7 @@
 		server.own = max(server.own-1, 0)
 		switch outcome {
 		case Ended:
-			server.failures = 0
+			server.failures, server.stalls = 0, 0
 		case Refused, Failed:
 			pause := min(ejection<<min(server.failures, 4), ejectionMost)
 			server.until = now.Add(pause)
@@ -448,6 +457,14 @@
 	s.fill(now, group)
 }
 
+// Rest keeps requests from a server that makes no progress.
+func (s *Scheduler) Rest(now time.Time, id string) {
+	if known := s.servers[id]; known != nil {
+		known.until = now.Add(stallRest << min(known.stalls, stallDoublings))
+		known.stalls++
+	}
+}
+
 // Cancel takes a waiting request out. It reports false when it was granted before.
 func (s *Scheduler) Cancel(request *Request) bool {
 	if !request.waiting {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -200,3 +200,19 @@
 	later := start.Add(time.Second)
 	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("a"))
 }
+
+// TestStalledServers guards against requests that are sent to a machine which stands
+// still, because its server looks idle.
+func TestStalledServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z")
+	s.SetServers(start, engines("z"))
+	s.Rest(start, "a")
+	g.Expect(s.Offer(start.Add(time.Second), request(1, start.Add(time.Second))).Server).To(gomega.BeEmpty())
+	later := start.Add(3 * time.Second)
+	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("a"))
+	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.BeEmpty())
+	s.Release(later, "a", "s", schedule.Ended)
+	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("a"))
+	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("a"))
+}
--- a/standin/onplatform/onplatform_test.go
+++ b/standin/onplatform/onplatform_test.go
@@ -371,3 +371,19 @@
 	}
 	g.Eventually(drained, patience).Should(gomega.Receive(gomega.BeTrue()))
 }
+
+// TestFrozenServer guards against requests that stay at a server whose machine stands
+// still: they would run there long after their callers have left.
+func TestFrozenServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := start(t)
+	f.llm[0].Set(stagedengine.Behaviour{Events: 5, Pause: time.Hour})
+	f.llm[1].Set(stagedengine.Behaviour{Events: 5, Pause: 5 * time.Millisecond})
+	for range 4 {
+		began := time.Now()
+		_, body, _, err := f.call("POST", "/llm/stream", "k1", "")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(body).To(gomega.Equal(events(1, 5)))
+		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 3*time.Second))
+	}
+}
