--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -21,7 +21,6 @@
 package schedule
 
 import (
-	"math"
 	"math/rand/v2"
 	"slices"
 	"sort"
@@ -104,36 +103,6 @@
 	places   uint64
 }
 
-// service is the state of a service.
-type service struct {
-	servers []*server
-	waiting []*Request
-	// ended is the pace at which requests of this entry end.
-	ended pace
-	ranks map[int]*rank
-	// perToken is the time for each token that a request asks for.
-	perToken time.Duration
-}
-
-// server is the state of a backend server.
-type server struct {
-	*world.Server
-	own int
-	// others counts the requests of other entries by entry.
-	others map[string]int
-	// failures counts the sendings in a row that the server refused or failed.
-	failures int
-	// stalls counts how often in a row it made no progress.
-	stalls int
-	until  time.Time
-	// ahead is what the agent beside the server says of it, which is newer than its
-	// registration until aheadUntil.
-	ahead      map[string]int
-	loading    bool
-	loadsAt    time.Time
-	aheadUntil time.Time
-}
-
 // New returns a scheduler for an entry in the availability zone.
 func New(zone string) *Scheduler {
 	return &Scheduler{zone: zone, services: map[string]*service{}, servers: map[string]*server{}, required: map[string]int{}}
@@ -267,14 +236,6 @@
 	return Grant{Waited: true}
 }
 
-// comeBack returns when a refused request may come back: after the requests that wait
-// have been served, at different moments for those that are refused together.
-func (g *service) comeBack(now time.Time, wait time.Duration) time.Duration {
-	drain := time.Duration(float64(len(g.waiting)) / max(g.ended.value(now), rateLeast) * float64(time.Second))
-	spread := time.Duration(rand.Int64N(int64(retrySpread)))
-	return min(max(wait, drain, retryLeast)+spread, retryMost)
-}
-
 // Began takes the time from sending to the first event of a request.
 func (s *Scheduler) Began(service string, order int, took time.Duration) {
 	rank := s.group(service).rank(order)
@@ -289,38 +250,6 @@
 	}
 }
 
-// before orders waiting requests.
-func before(a, b *Request) int {
-	if a.order != b.order {
-		return a.order - b.order
-	}
-	if a.place < b.place {
-		return -1
-	}
-	if a.place > b.place {
-		return 1
-	}
-	return 0
-}
-
-// wait returns how long a new request is expected to wait: for those of its own order
-// that wait before it, at the pace at which its rank gets places. A rank that got few
-// lately is expected to get a part of all, since the smallest served part goes first.
-func (g *service) wait(now time.Time, request *Request) time.Duration {
-	ahead := 1
-	for _, waiting := range g.waiting {
-		if waiting.order == request.order {
-			ahead++
-		}
-	}
-	all := max(g.ended.value(now), rateLeast)
-	own := max(g.rank(request.Rank).granted.value(now), all*leastPart)
-	if request.order == 0 {
-		own = all
-	}
-	return time.Duration(float64(ahead) / own * float64(time.Second))
-}
-
 // choose returns the server with the least load that has a free place, or nil.
 func (s *Scheduler) choose(now time.Time, group *service, request *Request) *server {
 	version := s.required[request.Model]
@@ -367,61 +296,6 @@
 	return false
 }
 
-// fits tells whether the server may run the request.
-func (s *server) fits(now time.Time, request *Request, version int) bool {
-	if s.Draining || slices.Contains(request.Tried, s.ID) {
-		return false
-	}
-	if request.Model == "" {
-		return true
-	}
-	held := s.held(now, request.Model)
-	return held > 0 && held >= version
-}
-
-// endsTooLate tells whether the server is about to load weights, and the request would
-// run for longer than the time until then. The server would take nothing new while it
-// waits for it. The most urgent requests, which are short, go there all the same.
-func (s *server) endsTooLate(now time.Time, request *Request, group *service) bool {
-	if request.Rank == 0 || now.After(s.aheadUntil) || !now.Before(s.loadsAt) {
-		return false
-	}
-	return now.Add(group.runs(request)).After(s.loadsAt.Add(loadSlack))
-}
-
-// runs returns how long the request is expected to run.
-func (g *service) runs(request *Request) time.Duration {
-	return g.rank(request.Rank).begin + time.Duration(request.Tokens)*g.perToken
-}
-
-// used is the number of requests of all entries at the server.
-func (s *server) used() int {
-	used := s.own
-	for _, count := range s.others {
-		used += count
-	}
-	return used
-}
-
-// load is the share of the slots that are in use.
-func (s *server) load() float64 { return float64(s.used()) / float64(max(s.Slots, 1)) }
-
-// places is the number of requests up to which the server takes another one.
-func (s *server) places(request *Request, group *service) int {
-	slots := max(s.Slots, 1)
-	switch {
-	case request.Model == "":
-		return slots + plainOvercommit
-	case request.Rank == 0:
-		return slots + urgentOvercommit
-	}
-	part := batchShare
-	if group.exceeds(request.Rank) {
-		part -= rankReserve
-	}
-	return int(math.Ceil(float64(slots) * part))
-}
-
 // Outcome is how a sending ended.
 type Outcome int
 
@@ -517,52 +391,6 @@
 	}
 }
 
-// next returns the request that gets the next place: the first of the most urgent
-// rank, or else the first of the rank of which the smallest part was served.
-func (g *service) next(passed map[*Request]bool) *Request {
-	var best *Request
-	least := 0.0
-	bias := 1.0
-	for i, request := range g.waiting {
-		if passed[request] {
-			continue
-		}
-		if i > 0 && g.waiting[i-1].order == request.order && !passed[g.waiting[i-1]] {
-			continue
-		}
-		if request.order == 0 {
-			return request
-		}
-		value := 1.0
-		if request.order == request.Rank {
-			value = g.rank(request.Rank).share.value()
-		}
-		value *= bias
-		bias /= rankBias
-		if best == nil || value < least {
-			best, least = request, value
-		}
-	}
-	return best
-}
-
-// exceeds tells whether a larger part of a rank's requests is served than of the rank
-// above.
-func (g *service) exceeds(rank int) bool {
-	above := g.ranks[rank-1]
-	return rank > 1 && above != nil && g.rank(rank).share.value()*rankExcess > above.share.value()
-}
-
-// full tells whether every slot of the servers that take requests is in use.
-func (g *service) full() bool {
-	for _, candidate := range g.servers {
-		if !candidate.Draining && candidate.used() < max(candidate.Slots, 1) {
-			return false
-		}
-	}
-	return true
-}
-
 // Server returns a server by its id, or nil.
 func (s *Scheduler) Server(id string) *world.Server {
 	if known := s.servers[id]; known != nil {
@@ -579,10 +407,3 @@
 	}
 	return known.held(now, model)
 }
-
-func (s *server) held(now time.Time, model string) int {
-	if now.Before(s.aheadUntil) {
-		return s.ahead[model]
-	}
-	return s.Versions[model]
-}
