ingress: a caller that leaves is not told "not run" of what a server had

Cause: a caller that closes its side for writing and reads on got 503 with "not run" for a booking that was at a server (TestLeftCallerIsToldTheTruth failed). Change: 502, may have run, once the request was sent.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -135,7 +135,7 @@
 					i.released(r, grant.Server, schedule.Left)
 				}
 			}
-			return nil, result.CallerLeft.Error("the caller left while its request waited")
+			return nil, r.truthful(result.CallerLeft.Error("the caller left while its request waited"))
 		}
 		r.waited += time.Since(began)
 		i.mu.Lock()
@@ -244,7 +244,7 @@
 	}
 	switch {
 	case r.left.Err() != nil:
-		outcome, failure = schedule.Left, result.CallerLeft.Error("the caller left")
+		outcome, failure = schedule.Left, result.ServerLost.Error("the caller left while a server had its request")
 	case notRun:
 		outcome = schedule.Refused
 		failure = &result.Error{Code: result.QueueFull, Message: "the server refused the request", RetryAfter: notReadyRetry}
@@ -302,7 +302,7 @@
 	accepted.answer.Close()
 	if r.left.Err() != nil {
 		i.released(r, accepted.server.ID, schedule.Left)
-		return result.CallerLeft.Error("the caller left")
+		return result.ServerLost.Error("the caller left during the answer")
 	}
 	return i.failed(r, accepted.server, nil, errors.Wrap(err, "answer"))
 }
--- a/standin/onplatform/onplatform_test.go
+++ b/standin/onplatform/onplatform_test.go
@@ -387,3 +387,25 @@
 		g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 3*time.Second))
 	}
 }
+
+// TestLeftCallerIsToldTheTruth guards against "not run" for a booking that a server
+// had, to a caller that has closed its side for writing and still reads.
+func TestLeftCallerIsToldTheTruth(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := start(t)
+	for _, server := range f.plain {
+		server.Set(stagedengine.Behaviour{Hold: 500 * time.Millisecond})
+	}
+	conn, err := net.Dial("tcp", f.address)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	_, _ = io.WriteString(conn, "POST /book/ HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: 8\r\nContent-Length: 0\r\n\r\n")
+	time.Sleep(20 * time.Millisecond)
+	g.Expect(conn.(*net.TCPConn).CloseWrite()).To(gomega.Succeed())
+	response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer response.Body.Close()
+	g.Expect(response.Header.Get("Fuchsiarouter-Ran")).To(gomega.Equal("maybe"))
+	g.Expect(response.StatusCode).To(gomega.Equal(502))
+}
