--- a/loader/converge.go
+++ b/loader/converge.go
@@ -78,9 +78,10 @@
 	return pause
 }
 
-// models returns the models of the engine's service.
+// models returns the models of the engine's service. There are none until the other
+// servers are known, from which their versions come.
 func (l *Loader) models(view *world.View) []string {
-	if view.Configuration == nil {
+	if view.Configuration == nil || !l.mirror.KnowsServers() {
 		return nil
 	}
 	service := view.Configuration.Services[l.settings.Service]
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -40,6 +40,8 @@
 	// spoil damages what the origin sends the first so many times.
 	spoil int
 	down  bool
+	// delay holds up reads of the servers.
+	delay time.Duration
 }
 
 func newFleet(t *testing.T) *fleet {
@@ -81,6 +83,11 @@
 func (f *fleet) Newest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if delay := f.delay; topic == fuchsiarouter.TopicServers && delay > 0 {
+		f.mu.Unlock()
+		time.Sleep(delay)
+		f.mu.Lock()
+	}
 	batch := fuchsiarouter.KeyedBatch{End: f.changed[topic] + 1}
 	switch topic {
 	case fuchsiarouter.TopicOperator:
@@ -279,6 +286,21 @@
 	g.Expect(f.draws()).To(gomega.BeZero())
 }
 
+// TestServersAreReadFirst guards against a loader that starts, does not know the other
+// engines yet, and draws from the origin what they have.
+func TestServersAreReadFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFleet(t)
+	f.add(t, 2, "a", true)
+	time.Sleep(100 * time.Millisecond)
+	f.mu.Lock()
+	f.delay = 300 * time.Millisecond
+	f.mu.Unlock()
+	added := f.add(t, 3, "a", false)
+	g.Eventually(versions(added), patience).Should(gomega.Equal([]int{1}))
+	g.Expect(f.draws()).To(gomega.BeZero())
+}
+
 // TestNewVersion guards against an origin that sends more than about one copy, and
 // against an engine that loads damaged pieces, when what the origin sends is spoilt.
 func TestNewVersion(t *testing.T) {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -118,6 +118,9 @@
 	return m.settings.Clock() - time.Duration(m.serversAt.Load())
 }
 
+// KnowsServers tells whether the servers were read at least once.
+func (m *Mirror) KnowsServers() bool { return m.serversAt.Load() >= 0 }
+
 // Close ends the loops.
 func (m *Mirror) Close() {
 	close(m.stop)
