--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -1,9 +1,10 @@
 // Package schedule chooses the backend server of each request at an entry, and the
 // order in which waiting requests are sent.
 //
-// A server has as many places as slots. Places in use are counted from the requests
-// of this entry and from what the other entries report of theirs. A request goes to
-// the server with the smallest share of its places in use, servers of the own
+// A server has places: for the most urgent rank a few more than its slots, for the
+// others a part of them, since a full engine begins an answer late. Places in use are
+// counted from the requests of this entry and from what the other entries report of
+// theirs. A request goes to the server with the least load, servers of the own
 // availability zone first at equal load.
 //
 // When every place is taken a request waits, but not longer than its answer can still
@@ -12,7 +13,7 @@
 // its caller comes back when it is calmer. A free place goes to the most urgent rank
 // first, and then to the rank of which the smallest part was served lately, so that a
 // flood of one rank does not take everything from those below it. Requests that are
-// late already take places only while some are left over.
+// late already wait two ranks lower.
 //
 // The load that this answers is one of 1.3 times the capacity for the whole day, with
 // bursts of one rank of 2.6 times its usual requests.
