exchange: reset cancelled requests; loader: wake the fetching of a new version

Cause: a connection that is closed delivers what was sent before, so a machine that was frozen or cut off runs a cancelled request when it is back. TestCancelResets failed before (the server read the request and EOF). The channel that wakes the fetching of pieces was never made, so a declared version waited up to 250 ms for the next look.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -89,14 +89,14 @@
 }
 
 // Send sends a request and returns the head of its answer. When the context ends,
-// the connection is closed, by which the server sees that the work is cancelled.
+// the connection is reset, by which the server sees that the work is cancelled.
 // Mine tells whether an answer belongs to the request.
 func (c *Client) Send(ctx context.Context, target Target, request []byte, deadline time.Time, mine func(*fasthttp.ResponseHeader) bool) (*Answer, error) {
 	conn, err := c.take(target)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "%v", err)
 	}
-	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	stop := context.AfterFunc(ctx, func() { tcp.Abort(conn.Conn) })
 	answer := &Answer{client: c, conn: conn, stop: stop, Reused: conn.used}
 	conn.used = true
 	_ = conn.SetDeadline(deadline)
@@ -186,7 +186,7 @@
 	return n, err
 }
 
-// Close ends the exchange. Before the end of the answer this closes the
+// Close ends the exchange. Before the end of the answer this resets the
 // connection, by which the server sees that the work is cancelled.
 func (a *Answer) Close() {
 	if a.conn == nil {
@@ -214,7 +214,11 @@
 
 func (a *Answer) discard() {
 	a.stop()
-	_ = a.conn.Close()
+	if a.ended {
+		_ = a.conn.Close()
+	} else {
+		tcp.Abort(a.conn.Conn)
+	}
 	a.client.mu.Lock()
 	a.client.open--
 	a.client.mu.Unlock()
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -184,6 +185,27 @@
 	g.Eventually(s.ended, deadline).Should(gomega.Receive())
 }
 
+// TestCancelResets guards against a request that is cancelled while its server stands
+// still, and that the server runs when it goes on: a connection that is closed without
+// a reset still delivers what was sent before.
+func TestCancelResets(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	target := exchange.Target{Address: listener.Addr().String(), ID: "i"}
+	ctx, cancel := context.WithCancel(context.Background())
+	time.AfterFunc(50*time.Millisecond, cancel)
+	_, err = exchange.New().Send(ctx, target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline), mine)
+	g.Expect(err).To(gomega.HaveOccurred())
+	conn, err := listener.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	_ = conn.SetReadDeadline(time.Now().Add(deadline))
+	_, err = io.Copy(io.Discard, conn)
+	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(gomega.BeTrue(), "%v", err)
+}
+
 // TestIncarnations guards against a connection of one incarnation that carries a
 // request for another.
 func TestIncarnations(t *testing.T) {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -109,7 +109,7 @@
 		engines: map[string]engineState{}, declared: map[string]map[int]time.Duration{},
 		gate:  newGate(),
 		pacer: pacer{rate: max(settings.Link*linkShare, leastRate)},
-		wake:  make(chan struct{}, 1), stop: make(chan struct{}),
+		wake:  make(chan struct{}, 1), declaredNow: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
 	listener, err := tcp.Listen(settings.Pieces)
 	if err != nil {
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -52,6 +52,16 @@
 	return config.Listen(context.Background(), "tcp4", address)
 }
 
+// Abort resets a connection. Bytes that are still on their way to the other side are
+// dropped, also those that a partition or a frozen machine holds up, so a request that
+// was cancelled does not begin when the other side is back.
+func Abort(conn net.Conn) {
+	if socket, ok := conn.(*net.TCPConn); ok {
+		_ = socket.SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
 // Pending tells what waits on a connection that should be quiet: bytes or its end.
 // Nothing is taken from it.
 func Pending(conn net.Conn) bool {
