--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -205,7 +205,7 @@
 	if err != nil {
 		return nil, err
 	}
-	i.stalls.note(time.Now(), server.ID)
+	i.stalls.note(time.Now(), r.sending)
 	i.mu.Lock()
 	i.scheduler.Began(r.service, r.rank, time.Since(sentAt))
 	i.mu.Unlock()
--- a/ingress/news.go
+++ b/ingress/news.go
@@ -49,6 +49,7 @@
 		case now := <-ticker.C:
 			i.broadcast(now)
 			i.mu.Lock()
+			i.scheduler.SetEntries(i.roster.Place(now))
 			silent := i.roster.Silent(last, now)
 			for _, entry := range silent {
 				i.scheduler.SetOthers(now, entry.Peers, nil)
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -8,10 +8,15 @@
 	"go.uber.org/zap"
 )
 
-// stallAfter is the silence of a server, on all requests that it has, from which it
-// counts as frozen or cut off. An engine that serves sends events several times a
-// second; one that loads weights is silent for about 0.6 s.
-const stallAfter = 1200 * time.Millisecond
+const (
+	// stallAfter is the silence of a server that has begun an answer, on all requests
+	// that it has, from which it counts as frozen or cut off. An engine sends the events
+	// of what it runs several times a second.
+	stallAfter = 1200 * time.Millisecond
+	// stallUnbegun is the same for a server that has begun none: a full engine begins
+	// nothing for as long as an answer takes, and then loads weights for 0.6 s.
+	stallUnbegun = 2 * time.Second
+)
 
 // stalls finds servers that have requests and make no progress on any of them. The
 // machine of such a server may stand still: what it was sent would run long after its
@@ -33,6 +38,8 @@
 	cancel context.CancelFunc
 	// repeatable is set when the request may be taken back and sent elsewhere.
 	repeatable bool
+	// begun is set once a part of the answer has come.
+	begun bool
 }
 
 func newStalls() *stalls { return &stalls{servers: map[string]*progress{}} }
@@ -49,11 +56,12 @@
 	known.sendings[added] = struct{}{}
 }
 
-// note takes a sign of progress.
-func (s *stalls) note(now time.Time, server string) {
+// note takes a sign of progress on a sending.
+func (s *stalls) note(now time.Time, noted *sending) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if known := s.servers[server]; known != nil {
+	noted.begun = true
+	if known := s.servers[noted.server]; known != nil {
 		known.last = now
 	}
 }
@@ -77,7 +85,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for id, known := range s.servers {
-		if now.Sub(known.last) < stallAfter {
+		if now.Sub(known.last) < known.bound() {
 			continue
 		}
 		servers = append(servers, id)
@@ -90,6 +98,16 @@
 	return servers, taken
 }
 
+// bound is the silence from which the server counts as stalled.
+func (p *progress) bound() time.Duration {
+	for one := range p.sendings {
+		if one.begun {
+			return stallAfter
+		}
+	}
+	return stallUnbegun
+}
+
 // takeBack ends the sendings at servers that make no progress, so that they go on
 // elsewhere.
 func (i *Ingress) takeBack(now time.Time) {
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -76,8 +76,8 @@
 	}
 	n, err := e.current.answer.Read(e.pending[len(e.pending):cap(e.pending)])
 	e.pending = e.pending[:len(e.pending)+n]
-	if n > 0 {
-		e.ingress.stalls.note(time.Now(), e.current.server.ID)
+	if n > 0 && e.request.sending != nil {
+		e.ingress.stalls.note(time.Now(), e.request.sending)
 	}
 	if at := bytes.LastIndex(e.pending, eventEnd); at >= 0 {
 		e.ready = at + len(eventEnd)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -135,6 +135,22 @@
 	return live
 }
 
+// Place returns the place of the own entry among the live entries of its zone, and
+// their number.
+func (r *Roster) Place(now time.Time) (place, count int) {
+	count = 1
+	for _, entry := range r.Live(now) {
+		if entry.AvailabilityZone != r.own.AvailabilityZone {
+			break
+		}
+		count++
+		if entry.Peers < r.own.Peers {
+			place++
+		}
+	}
+	return place, count
+}
+
 func (r *Roster) distance(entry Entry) int {
 	switch {
 	case entry.AvailabilityZone == r.own.AvailabilityZone:
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -5,7 +5,9 @@
 // others a part of them, since a full engine begins an answer late. Places in use are
 // counted from the requests of this entry and from what the other entries report of
 // theirs. A request goes to the server with the least load, servers of the own
-// availability zone first at equal load.
+// availability zone first at equal load, and among these the ones that the entry is
+// home to: no other entry sends there before its own homes are loaded, so their counts
+// are exact.
 //
 // When every place is taken a request waits, but not longer than its answer can still
 // begin in time: an answer that comes late earns little and takes the place of one
@@ -83,6 +85,11 @@
 	// aheadFor is how long the word of an agent goes before a registration. Agents
 	// repeat it for 2.5 s, and registrations follow within a heartbeat of 1.2 s.
 	aheadFor = 1500 * time.Millisecond
+	// foreignPenalty is the load at which a server that another entry of the zone is
+	// home to is preferred. The counts of the other entries are older than the time in
+	// which a server gets its next request, so entries that all choose the least loaded
+	// server choose the same one; each has other homes.
+	foreignPenalty = 0.2
 	// loadingPenalty is the load at which a server that is loading weights, and takes
 	// nothing new for about a second, is preferred.
 	loadingPenalty = 2.0
@@ -102,11 +109,45 @@
 	// required is the version of each model on which a request must begin.
 	required map[string]int
 	places   uint64
+	// self is the place of this entry among the entries of the zone.
+	self, entries int
 }
 
 // New returns a scheduler for an entry in the availability zone.
 func New(zone string) *Scheduler {
-	return &Scheduler{zone: zone, services: map[string]*service{}, servers: map[string]*server{}, required: map[string]int{}}
+	return &Scheduler{zone: zone, services: map[string]*service{}, servers: map[string]*server{}, required: map[string]int{}, entries: 1}
+}
+
+// SetEntries takes the place of this entry among the live entries of its zone. The
+// servers of the zone are dealt to them as homes.
+func (s *Scheduler) SetEntries(self, entries int) {
+	if s.self == self && s.entries == entries {
+		return
+	}
+	s.self, s.entries = self, entries
+	for _, group := range s.services {
+		s.dealHomes(group)
+	}
+}
+
+// dealHomes deals the servers of the zone to its entries in turn. When there are fewer
+// servers than entries, several entries have the same home.
+func (s *Scheduler) dealHomes(group *service) {
+	count := 0
+	for _, server := range group.servers {
+		if server.AvailabilityZone == s.zone {
+			count++
+		}
+	}
+	place := 0
+	for _, server := range group.servers {
+		if server.AvailabilityZone != s.zone {
+			server.home = false
+			continue
+		}
+		server.home = place%s.entries == s.self || count < s.entries && s.self%count == place
+		place++
+	}
 }
 
 // SetServers replaces the set of servers. Requests that wait may get one of the new
@@ -133,6 +174,7 @@
 	}
 	for _, group := range s.services {
 		sort.Slice(group.servers, func(i, j int) bool { return group.servers[i].ID < group.servers[j].ID })
+		s.dealHomes(group)
 		s.fill(now, group)
 	}
 }
@@ -271,6 +313,9 @@
 		if candidate.AvailabilityZone != s.zone {
 			load += zonePenalty
 		}
+		if !candidate.home {
+			load += foreignPenalty
+		}
 		if candidate.loading && now.Before(candidate.aheadUntil) {
 			load += loadingPenalty
 		}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -12,6 +12,8 @@
 type server struct {
 	*world.Server
 	own int
+	// home is set for servers that this entry prefers.
+	home bool
 	// others counts the requests of other entries by entry.
 	others map[string]int
 	// failures counts the sendings in a row that the server refused or failed.
