mirror, roster: two readers a zone; a copy that is only as new as the own one is no failure

Cause: followers poll a reader faster than it reads, and took a copy without news for a lost one, so they went to the store all the time; the check of the commit before was missing by a failed edit.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -13,6 +13,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -57,8 +58,8 @@
 	beginMargin = 200 * time.Millisecond
 	// relayWait is how long a read through another entry waits for news. A leaving
 	// server must get nothing 2 s after it has said so: the age of the copy, this wait and
-	// the time-out of a frozen entry are 1.4 s together.
-	relayWait = 400 * time.Millisecond
+	// the time-out of a frozen entry are 1.25 s together.
+	relayWait = 250 * time.Millisecond
 	// resendMargin is the part of the allowed resends that is used; another entry may
 	// count a window that begins at another moment.
 	resendMargin = 0.6
@@ -153,21 +154,20 @@
 	return i, nil
 }
 
-// ways are the entry that reads for the zone, the store itself, and the other entries,
-// which may reach it when this one does not.
+// ways are the entries that read for the zone, the store itself, and the other entries,
+// which may reach it when these do not.
 func (i *Ingress) ways() []fuchsiarouter.KeyedTopics {
 	now := time.Now()
 	i.mu.Lock()
-	live := i.roster.Live(now)
-	reader, other := i.roster.Reader(now)
+	live, readers := i.roster.Live(now), i.roster.Readers(now)
 	i.mu.Unlock()
 	ways := make([]fuchsiarouter.KeyedTopics, 0, len(live)+1)
-	if other {
+	for _, reader := range readers {
 		ways = append(ways, relay.NewClient(reader.Peers, i.peerHTTP))
 	}
 	ways = append(ways, i.registry)
 	for _, entry := range live {
-		if !other || entry.Peers != reader.Peers {
+		if !slices.Contains(readers, entry) {
 			ways = append(ways, relay.NewClient(entry.Peers, i.peerHTTP))
 		}
 	}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -49,9 +49,10 @@
 
 // staleAfter is the age of a copy from which a daemon whose copy is no newer is not asked
 // any more. An answer that was waited for confirms its copy as of the begin of the wait,
-// so a copy of the operator's topic is up to two waits old.
+// so a copy of the operator's topic is up to two waits old, and its readers look at it
+// about three times a second.
 var staleAfter = map[fuchsiarouter.Topic]time.Duration{
-	fuchsiarouter.TopicOperator: 2*operatorWait + 400*time.Millisecond,
+	fuchsiarouter.TopicOperator: 2*operatorWait + 450*time.Millisecond,
 	fuchsiarouter.TopicServers:  serversInterval + 500*time.Millisecond,
 }
 
@@ -205,6 +206,12 @@
 				return
 			}
 			continue
+		case errors.Is(err, errStale) && m.settings.Clock()-time.Duration(confirmed.Load()) < staleAfter[topic]:
+			// The other daemon has not read again since.
+			if !m.sleep(relayPause) {
+				return
+			}
+			continue
 		case err != nil:
 			if !failing {
 				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", way), telemetry.Cause(err))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -164,23 +164,33 @@
 	return live
 }
 
-// Reader returns the entry of the own zone through which the others of the zone read
-// the platform's topics: the one with the most bandwidth. It reports false when that is
-// the own entry.
-func (r *Roster) Reader(now time.Time) (Entry, bool) {
-	reader := r.own
+// readers is the number of entries of a zone that read the platform's topics for it.
+// The second one reads them only when the first fails, so that not all do at once.
+const readers = 2
+
+// Readers returns the entries of the own zone through which the own one reads the
+// platform's topics, the preferred one first: those with the most bandwidth. The first
+// reader of a zone has none, the second one the first.
+func (r *Roster) Readers(now time.Time) []Entry {
+	var better []Entry
 	for _, entry := range r.Live(now) {
 		if entry.AvailabilityZone != r.own.AvailabilityZone {
 			break
 		}
-		if entry.Leaving || entry.Unavailable {
-			continue
-		}
-		if entry.Link > reader.Link || entry.Link == reader.Link && entry.Peers < reader.Peers {
-			reader = entry
+		if !entry.Leaving && !entry.Unavailable && precedes(entry, r.own) {
+			better = append(better, entry)
 		}
 	}
-	return reader, reader.Peers != r.own.Peers
+	sort.Slice(better, func(i, j int) bool { return precedes(better[i], better[j]) })
+	return better[:min(len(better), readers)]
+}
+
+// precedes tells whether an entry is the better reader.
+func precedes(a, b Entry) bool {
+	if a.Link != b.Link {
+		return a.Link > b.Link
+	}
+	return a.Peers < b.Peers
 }
 
 // Place returns the place of the own entry among the live entries of its zone, and
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -63,3 +63,25 @@
 	g.Expect(r.ForCallers(start, false)).To(gomega.HaveLen(1))
 	g.Expect(r.Silent(start, start.Add(2*time.Second))).To(gomega.HaveLen(1))
 }
+
+// TestReaders guards against entries that all read the platform's topics by themselves,
+// and against a zone whose readers read through each other.
+func TestReaders(t *testing.T) {
+	g := gomega.NewWithT(t)
+	entries := []roster.Entry{entry("a", "z"), entry("b", "z"), entry("c", "z"), entry("d", "z"), entry("x", "other")}
+	entries[2].Link, entries[4].Link = 25e6, 50e6
+	readers := map[string][]string{}
+	for _, own := range entries {
+		r := roster.New(own)
+		for _, other := range entries {
+			r.Hear(start, other)
+		}
+		readers[own.Name] = []string{}
+		for _, reader := range r.Readers(start) {
+			readers[own.Name] = append(readers[own.Name], reader.Name)
+		}
+	}
+	g.Expect(readers).To(gomega.Equal(map[string][]string{
+		"a": {"c"}, "b": {"c", "a"}, "c": {}, "d": {"c", "a"}, "x": {},
+	}))
+}
