loader: overtaken versions by shared times, sources that fill are waited for, one draw an agent

A home whose next piece takes 0.6 s at a slow origin was left out after three empty waits, and its pieces were asked of others that lack them: 113 draws for 96 pieces. 24 draws under way kept the origin busy for 1.1 s for the version before. Change: whether a version is finished follows from the times of declaration; an empty wait counts only at a source that gets no pieces itself; an agent draws one piece at a time. supply: the last drawer asks the origin, not itself (TestStagedPiecesRot failed).

--- a/loader/converge.go
+++ b/loader/converge.go
@@ -15,9 +15,12 @@
 const (
 	// firstVersion is the version that engines hold before any is declared.
 	firstVersion = 1
-	// finishFrom is the progress from which a version is finished although a newer one
-	// is declared: the newer one would come too late for the older one's deadline.
-	finishFrom = 0.6
+	// overtakeLeft is the part of its deadline that a version must have left, when a newer
+	// one is declared, to be dropped: the newer one takes a third for the origin and a
+	// fifth to reach everybody. It goes by the times of declaration, which all agents
+	// share. Agents that went by their own progress waited for pieces that others had
+	// dropped.
+	overtakeLeft = 0.7
 	// earliestLoad and latestLoad bound, as parts of the version deadline, when an
 	// engine is ordered to load. An engine that loads takes nothing new until what it
 	// runs has ended, so the engines of a service take turns.
@@ -201,10 +204,19 @@
 	return l.engines[model].version
 }
 
-// overtaken tells whether a newer version is declared, and this one is not worth
-// finishing.
-func (l *Loader) overtaken(model string, version int, progress float64) bool {
-	return l.mirror.View().Targets[model].Version > version && progress < finishFrom
+// overtaken tells whether a newer version is declared early enough to replace this one
+// before its deadline.
+func (l *Loader) overtaken(model string, version int) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	declared := l.declared[model]
+	at, known := declared[version]
+	for newer, seen := range declared {
+		if newer > version && (!known || seen-at < time.Duration((1-overtakeLeft)*float64(l.settings.VersionDeadline))) {
+			return true
+		}
+	}
+	return false
 }
 
 // load stages a version and orders the engine to load it, when it is its turn.
--- a/loader/draw.go
+++ b/loader/draw.go
@@ -23,12 +23,13 @@
 	// failedFor is how long a source that failed is left out. A frozen machine stands
 	// still for about 8 s, and each question to it costs a second.
 	failedFor = 12 * time.Second
-	// barren is the number of waits in a row without a piece after which a source is
-	// left out, for barrenFor: it may be waiting itself.
+	// barren is the number of waits in a row after which a source that gets no pieces itself
+	// is left out, for barrenFor.
 	barren    = 3
 	barrenFor = 1500 * time.Millisecond
 	// originDraws is the number of pieces that one agent draws from the origin at once.
-	originDraws = 2
+	// What is under way when a newer version is declared is drawn in vain.
+	originDraws = 1
 )
 
 // draw fetches the missing pieces of one version. One loop per source asks it for any
@@ -68,7 +69,7 @@
 		if len(shelf.left()) == 0 {
 			return nil
 		}
-		if l.overtaken(model, version, shelf.progress()) {
+		if l.overtaken(model, version) {
 			return errOvertaken
 		}
 		if d.isHopeless() {
@@ -221,7 +222,9 @@
 			d.loader.log.Info("source failed", zap.String("source", source), zap.Int("version", d.version), telemetry.Cause(err))
 			d.leave(source, failedFor)
 			return
-		case piece < 0:
+		case piece == pieceLater:
+			empty = 0
+		case piece == pieceNone:
 			if empty++; empty >= barren {
 				d.loader.log.Info("source has no piece", zap.String("source", source), zap.Int("version", d.version))
 				d.leave(source, barrenFor)
--- a/loader/serve.go
+++ b/loader/serve.go
@@ -100,12 +100,16 @@
 	ctx.SetBody(body)
 }
 
-// serveOffer answers with one of the wanted pieces that may be fetched now, or with no
-// content when none came in time.
+// serveOffer answers with one of the wanted pieces that may be fetched now, with no
+// content when none came in time but others did, or that it is not found.
 func (l *Loader) serveOffer(ctx *fasthttp.RequestCtx, model string, version int, wanted []int) {
 	piece, content := l.offer(model, version, wanted)
 	if piece < 0 {
-		ctx.SetStatusCode(fasthttp.StatusNoContent)
+		status := fasthttp.StatusNotFound
+		if known := l.shelf(model, version); known != nil && known.isFilling() {
+			status = fasthttp.StatusNoContent
+		}
+		ctx.SetStatusCode(status)
 		return
 	}
 	l.pacer.wait(len(content), l.held(model) == 0)
@@ -176,8 +180,14 @@
 	return wanted
 }
 
-// ask asks another loader for one of the pieces. The piece is negative when it has
-// none of them yet.
+// Numbers in place of a piece: the other loader has none of them yet, and gets others or
+// gets none.
+const (
+	pieceLater = -1
+	pieceNone  = -2
+)
+
+// ask asks another loader for one of the pieces.
 func (l *Loader) ask(address, model string, version int, wanted []int) (int, []byte, error) {
 	var list strings.Builder
 	for i, piece := range wanted {
@@ -191,7 +201,9 @@
 	case err != nil:
 		return 0, nil, err
 	case status == fasthttp.StatusNoContent:
-		return -1, nil, nil
+		return pieceLater, nil, nil
+	case status == fasthttp.StatusNotFound:
+		return pieceNone, nil, nil
 	case status != fasthttp.StatusOK || len(body) != pieceHeader:
 		return 0, nil, errors.Errorf("offer: status %d, %d bytes", status, len(body))
 	}
--- a/loader/shelf.go
+++ b/loader/shelf.go
@@ -9,6 +9,10 @@
 	"github.com/fuchsiarouter/fuchsiarouter"
 )
 
+// fillingFor is the time after a piece for which more are expected. A home of seven pieces
+// gets one every 0.6 s from a slow origin.
+const fillingFor = 1500 * time.Millisecond
+
 // shelf holds the verified pieces of one version in memory.
 type shelf struct {
 	manifest fuchsiarouter.PieceManifest
@@ -16,8 +20,9 @@
 	mu      sync.Mutex
 	pieces  [][]byte
 	missing int
-	// changed is closed when a piece comes.
+	// changed is closed when a piece comes, the last of which came at the time at.
 	changed chan struct{}
+	at      time.Time
 }
 
 func newShelf(manifest fuchsiarouter.PieceManifest) *shelf {
@@ -42,6 +47,7 @@
 	}
 	s.pieces[piece] = content
 	s.missing--
+	s.at = time.Now()
 	close(s.changed)
 	s.changed = make(chan struct{})
 	return true
@@ -81,6 +87,13 @@
 	}
 }
 
+// isFilling tells whether a piece came lately.
+func (s *shelf) isFilling() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return time.Since(s.at) < fillingFor
+}
+
 // left returns the pieces that are missing.
 func (s *shelf) left() []int {
 	s.mu.Lock()
@@ -93,10 +106,3 @@
 	}
 	return missing
 }
-
-// progress is the part of the pieces that are there.
-func (s *shelf) progress() float64 {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return 1 - float64(s.missing)/float64(max(len(s.pieces), 1))
-}
--- a/supply/supply.go
+++ b/supply/supply.go
@@ -93,7 +93,10 @@
 	if p.self.AvailabilityZone != p.originZone {
 		return p.deal(p.originHomes, piece)
 	}
-	return p.deal(p.drawers, piece)
+	if drawer := p.deal(p.drawers, piece); drawer != p.self.ID {
+		return drawer
+	}
+	return Origin
 }
 
 // deal returns the supplier whose turn a piece is, or the next one that has not
