loader, supply: a home draws when its drawer fails; manifests by the way of the first piece

When a drawer froze, its home asked the next drawer, which asked the home: 5 s for one piece. Ruled out: the origin's rate (a copy takes 4.5 s there, as calculated).

--- a/loader/draw.go
+++ b/loader/draw.go
@@ -266,7 +266,8 @@
 // and which of them have every piece.
 func (l *Loader) plan(view *world.View, model string, version int, out func(string) bool) (*supply.Plan, map[string]string, map[string]bool) {
 	addresses, complete := map[string]string{}, map[string]bool{}
-	var suppliers []supply.Supplier
+	// The entry of an engine from before its restart may still be there.
+	newest := map[string]*world.Server{}
 	for _, server := range view.Servers {
 		if server.Service != l.settings.Service || server.Draining {
 			continue
@@ -275,6 +276,12 @@
 		if err != nil || host == l.settings.IP {
 			continue
 		}
+		if known := newest[host]; known == nil || server.Born > known.Born {
+			newest[host] = server
+		}
+	}
+	var suppliers []supply.Supplier
+	for host, server := range newest {
 		whole := server.Versions[model] == version
 		suppliers = append(suppliers, supply.Supplier{ID: host, AvailabilityZone: server.AvailabilityZone, Complete: whole, Failed: out(host)})
 		addresses[host], complete[host] = l.peerAddress(server.Address), whole
--- a/loader/fetch.go
+++ b/loader/fetch.go
@@ -20,6 +20,9 @@
 // originPause is the pause after the origin has failed.
 const originPause = 100 * time.Millisecond
 
+// manifestTries is the number of sources that are asked for a manifest in a row.
+const manifestTries = 4
+
 // counters are the metrics of a loader.
 type counters struct {
 	fetched tally.Counter
@@ -99,20 +102,36 @@
 }
 
 // findManifest takes the manifest by the way of its first piece, so that the origin
-// sends it once, and asks the origin itself when that fails.
+// sends it once. Only an agent whose way leads to the origin asks it: after a restart of
+// all of them, manifests for each would take as long as a third of the pieces.
 func (l *Loader) findManifest(view *world.View, model string, version int) (fuchsiarouter.PieceManifest, error) {
-	plan, addresses, _ := l.plan(view, model, version, func(string) bool { return false })
-	if source := plan.Source(0); source != supply.Origin {
+	failed := map[string]bool{}
+	for range manifestTries {
+		plan, addresses, complete := l.plan(view, model, version, func(id string) bool { return failed[id] })
+		source := plan.Source(0)
+		if source == supply.Origin {
+			return l.drawManifest(view, model, version)
+		}
 		status, body, err := l.get(addresses[source], manifestPath, model, version, "")
 		var manifest fuchsiarouter.PieceManifest
 		if err == nil && status == fasthttp.StatusOK && json.Unmarshal(body, &manifest) == nil &&
 			manifest.Version == version && manifest.Model == model {
 			return manifest, nil
 		}
+		if complete[source] {
+			// Engines that held the version at their start came without a manifest.
+			return l.drawManifest(view, model, version)
+		}
+		failed[source] = true
 	}
+	return fuchsiarouter.PieceManifest{}, errors.New("no source has the manifest yet")
+}
+
+// drawManifest asks the origin for a manifest.
+func (l *Loader) drawManifest(view *world.View, model string, version int) (fuchsiarouter.PieceManifest, error) {
 	origin := view.Configuration.Origin()
 	if origin == nil {
-		return fuchsiarouter.PieceManifest{}, errors.New("no source has the manifest")
+		return fuchsiarouter.PieceManifest{}, errors.New("there is no origin")
 	}
 	return l.origin.Manifest(origin.Origin, model, version)
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -94,9 +94,14 @@
 	// nothing new for about a second, is preferred.
 	loadingPenalty = 2.0
 	// retryLeast and retryMost bound the time after which a refused request may come
-	// back.
-	retryLeast = 200 * time.Millisecond
+	// back. It is late by then in any case, and a burst lasts for seconds: one that comes
+	// back soon is refused again. Callers wait for a third of the time that they have left
+	// at most.
+	retryLeast = 900 * time.Millisecond
 	retryMost  = 2 * time.Second
+	// retryNoServer is the same when no server can take requests: engines need seconds to
+	// get their weights.
+	retryNoServer = 1200 * time.Millisecond
 	// retrySpread keeps refused requests from coming back together.
 	retrySpread = 800 * time.Millisecond
 )
@@ -259,7 +264,7 @@
 		return Grant{Server: chosen.ID}
 	}
 	if !s.possible(now, group, request) {
-		return Grant{Reason: NoServer, RetryAfter: retryMost / 4}
+		return Grant{Reason: NoServer, RetryAfter: group.comeBack(now, retryNoServer)}
 	}
 	request.order = request.Rank
 	request.patience = rank.patience(request)
--- a/supply/supply.go
+++ b/supply/supply.go
@@ -78,7 +78,8 @@
 
 // Source returns the id of the supplier that an agent asks for a piece, or Origin.
 func (p *Plan) Source(piece int) string {
-	if len(p.givers) == 0 && p.self.AvailabilityZone == p.originZone && p.deal(p.drawers, piece) == p.self.ID {
+	drawer := p.drawer(piece)
+	if len(p.givers) == 0 && drawer.ID == p.self.ID {
 		return Origin
 	}
 	if giver := p.deal(p.nearGivers, piece); giver != Origin {
@@ -93,10 +94,19 @@
 	if p.self.AvailabilityZone != p.originZone {
 		return p.deal(p.originHomes, piece)
 	}
-	if drawer := p.deal(p.drawers, piece); drawer != p.self.ID {
-		return drawer
+	if drawer.Failed || drawer.ID == p.self.ID {
+		// The next drawer would ask this home.
+		return Origin
 	}
-	return Origin
+	return drawer.ID
+}
+
+// drawer returns the agent that draws a piece from the origin.
+func (p *Plan) drawer(piece int) Supplier {
+	if len(p.drawers) == 0 {
+		return Supplier{ID: Origin}
+	}
+	return p.drawers[(piece+p.version)%len(p.drawers)]
 }
 
 // deal returns the supplier whose turn a piece is, or the next one that has not
--- a/supply/supply_test.go
+++ b/supply/supply_test.go
@@ -82,11 +82,12 @@
 		p := plan(all, self)
 		for piece := range pieces {
 			// A piece comes from the origin in a few steps, whoever asks.
-			at, steps := self, 0
-			for source := p.Source(piece); source != supply.Origin; source = plan(all, at).Source(piece) {
-				at = slices.IndexFunc(all, func(one supply.Supplier) bool { return one.ID == source })
+			steps := 0
+			for source := p.Source(piece); source != supply.Origin; {
+				at := slices.IndexFunc(all, func(one supply.Supplier) bool { return one.ID == source })
 				steps++
 				g.Expect(steps).To(gomega.BeNumerically("<=", 3))
+				source = plan(all, at).Source(piece)
 			}
 			if p.Source(piece) == supply.Origin {
 				drawers[agent.ID] = true
@@ -125,3 +126,24 @@
 		g.Expect(p.Source(piece)).To(gomega.Equal(supply.Origin))
 	}
 }
+
+// TestHomeOfAFailedDrawer guards against a home and a drawer that wait for each other when
+// the agent that was to draw a piece is frozen.
+func TestHomeOfAFailedDrawer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := fleet(32)
+	for self := range 32 {
+		for piece := range pieces {
+			source := plan(all, self).Source(piece)
+			drawer := slices.IndexFunc(all, func(one supply.Supplier) bool { return one.ID == source })
+			if source == supply.Origin || plan(all, drawer).Source(piece) != supply.Origin {
+				continue
+			}
+			failing := slices.Clone(all)
+			failing[drawer].Failed = true
+			if home := plan(all, drawer+1).Source(piece); home == all[self].ID {
+				g.Expect(plan(failing, self).Source(piece)).To(gomega.Equal(supply.Origin))
+			}
+		}
+	}
+}
