schedule: answers that have begun go first, none waits longer than its caller; soak

Change: a stream that goes on at another server goes before all others and may use the places of the most urgent rank; a request waits no longer than its caller does for an event. TestBegunAnswersGoFirst and TestCallersThatLeaveAreRefused failed before. standin/soak: real entries under seeded faults, promises checked from callers and servers.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -54,6 +54,9 @@
 		Service: r.service, Rank: r.rank, Workspace: r.workspace, Arrived: r.received,
 		Target: r.received.Add(target - r.before), Deadline: r.deadline,
 	}
+	if r.route.Patience > 0 {
+		r.schedule.GivesUp = r.received.Add(r.route.Patience)
+	}
 	if r.route.Generates {
 		r.schedule.Model, r.schedule.Tokens = r.Model, r.AnswerTokens
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -33,8 +33,9 @@
 	lastID  string
 	over    bool
 	closed  bool
-	// began is the time of the first event.
-	began time.Time
+	// began is the time of the first event, passed that at which the caller got the last.
+	began  time.Time
+	passed time.Time
 }
 
 // runStream opens a stream and reads its first event, so that a failure before it
@@ -103,6 +104,7 @@
 	}
 	n := copy(buffer, e.pending[:e.ready])
 	e.note(e.pending[:n])
+	e.passed = time.Now()
 	rest := copy(e.pending, e.pending[n:])
 	e.pending, e.ready = e.pending[:rest], e.ready-n
 	return n, nil
@@ -130,6 +132,10 @@
 	}
 	if failure == nil {
 		e.pending, e.ready = e.pending[:0], 0
+		r.schedule.Resumed = true
+		if r.route.Patience > 0 {
+			r.schedule.GivesUp = e.passed.Add(r.route.Patience)
+		}
 		e.current, failure = e.ingress.send(r, e.lastID)
 	}
 	if failure == nil && e.current.answer.Header.StatusCode() >= 300 {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -14,6 +14,11 @@
 	// first attempt; Deadline that at which the caller stops waiting.
 	Target   time.Time
 	Deadline time.Time
+	// GivesUp is the time at which the caller leaves when no event has come, zero when it
+	// waits until the deadline.
+	GivesUp time.Time
+	// Resumed is set when the caller has a part of the answer.
+	Resumed bool
 	// Model names the weights that the request runs on, empty for plain services.
 	Model string
 	// Tokens is the number of tokens that it asks for, 0 when it does not say.
@@ -34,6 +39,10 @@
 // late tells whether the answer cannot begin in time any more.
 func (r *Request) late(now time.Time) bool { return now.After(r.Target) }
 
+// urgent tells whether the request goes before all others of less urgent ranks: one of the
+// most urgent rank, or one whose answer has begun and would be cut.
+func (r *Request) urgent() bool { return r.Rank == 0 || r.Resumed }
+
 // Grant is the decision on a waiting request: a server, or a refusal.
 type Grant struct {
 	// Server is empty for a refusal.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -15,7 +15,8 @@
 // its caller comes back when it is calmer. A free place goes to the most urgent rank
 // first, and then to the rank of which the smallest part was served lately, so that a
 // flood of one rank does not take everything from those below it. Requests that are
-// late already wait two ranks lower.
+// late already wait two ranks lower, but those whose answer has begun at a server that
+// was lost go first. None waits for longer than its caller does.
 //
 // The load that this answers is one of 1.3 times the capacity for the whole day, with
 // bursts of one rank of 2.6 times its usual requests.
@@ -268,10 +269,17 @@
 	}
 	request.order = request.Rank
 	request.patience = rank.patience(request)
-	if late {
+	switch {
+	case request.Resumed:
+		request.order = 0
+		request.patience = request.Deadline
+	case late:
 		request.order += lateRanks
 		request.patience = now.Add(min(latePatience, request.Deadline.Sub(now)/4))
 	}
+	if begins := request.GivesUp.Add(-rank.begin); !request.GivesUp.IsZero() && begins.Before(request.patience) {
+		request.patience = begins
+	}
 	wait := group.wait(now, request)
 	if now.Add(wait).After(request.patience) {
 		return Grant{Reason: Overloaded, RetryAfter: group.comeBack(now, wait)}
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -216,3 +216,39 @@
 	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("a"))
 	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("a"))
 }
+
+// TestBegunAnswersGoFirst guards against cutting an answer that has begun, because its
+// server was lost while others are full.
+func TestBegunAnswersGoFirst(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z")
+	s.SetServers(start, engines("z"))
+	fill(s)
+	s.SetOthers(start, "peer", map[string]int{"a": 9})
+	var order []string
+	fresh := request(1, start)
+	fresh.Granted = func(schedule.Grant) { order = append(order, "fresh") }
+	g.Expect(s.Offer(start, fresh).Waited).To(gomega.BeTrue())
+	begun := request(2, start.Add(-2*time.Second))
+	begun.Resumed, begun.GivesUp = true, start.Add(time.Second)
+	begun.Granted = func(schedule.Grant) { order = append(order, "begun") }
+	g.Expect(s.Offer(start, begun).Waited).To(gomega.BeTrue())
+	s.SetOthers(start, "peer", nil)
+	for range 5 {
+		s.Release(start, "a", "s", schedule.Ended)
+	}
+	g.Expect(order).To(gomega.Equal([]string{"begun", "fresh"}))
+}
+
+// TestCallersThatLeaveAreRefused guards against a request that waits, or is sent again,
+// although its caller leaves before an answer can begin.
+func TestCallersThatLeaveAreRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z")
+	s.SetServers(start, engines("z"))
+	fill(s)
+	s.SetOthers(start, "peer", map[string]int{"a": 9})
+	leaving := request(1, start)
+	leaving.Resumed, leaving.GivesUp = true, start.Add(50*time.Millisecond)
+	g.Expect(s.Offer(start, leaving).Reason).To(gomega.Equal(schedule.Overloaded))
+}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -45,7 +45,7 @@
 // run for longer than the time until then. The server would take nothing new while it
 // waits for it. The most urgent requests, which are short, go there all the same.
 func (s *server) endsTooLate(now time.Time, request *Request, group *service) bool {
-	if request.Rank == 0 || now.After(s.aheadUntil) || !now.Before(s.loadsAt) {
+	if request.urgent() || now.After(s.aheadUntil) || !now.Before(s.loadsAt) {
 		return false
 	}
 	return now.Add(group.runs(request)).After(s.loadsAt.Add(loadSlack))
@@ -69,7 +69,7 @@
 	switch {
 	case request.Model == "":
 		return slots + plainOvercommit
-	case request.Rank == 0:
+	case request.urgent():
 		return slots + urgentOvercommit
 	}
 	part := batchShare
--- a/standin/cmd/standin/main.go
+++ b/standin/cmd/standin/main.go
@@ -25,7 +25,7 @@
 	command := &cli.Command{
 		Name:     "standin",
 		Usage:    "run stand-ins of the systems around fuchsiarouter",
-		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), linkCommand(), demoCommand(), replayCommand(), traceCommand()},
+		Commands: []*cli.Command{platformCommand(), engineCommand(), serviceCommand(), linkCommand(), demoCommand(), replayCommand(), traceCommand(), soakCommand()},
 	}
 	return command.Run(ctx, args)
 }
--- /dev/null
+++ b/standin/cmd/standin/soak.go
@@ -0,0 +1,56 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/go-faster/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/fuchsiarouter/fuchsiarouter/standin/soak"
+)
+
+func soakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run entries of the users' platform as real processes under random faults",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Value: 1, Usage: "first seed"},
+			&cli.IntFlag{Name: "runs", Value: 1, Usage: "number of seeds"},
+			&cli.DurationFlag{Name: "length", Value: 10 * time.Second, Usage: "time in which faults begin, for each seed"},
+			&cli.IntFlag{Name: "entries", Value: 3, Usage: "number of entry processes"},
+			&cli.IntFlag{Name: "callers", Value: 6, Usage: "number of callers"},
+			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the binaries"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			failed := 0
+			for run := range c.Int("runs") {
+				dir, err := os.MkdirTemp("", "standin-soak-")
+				if err != nil {
+					return errors.Wrap(err, "directory for logs")
+				}
+				report, err := soak.Run(ctx, soak.Settings{
+					Binary: filepath.Join(c.String("bin"), "fuchsiarouterd"), Dir: dir, Seed: c.Uint64("seed") + uint64(run),
+					Entries: c.Int("entries"), Callers: c.Int("callers"), Length: c.Duration("length"),
+				})
+				if err != nil {
+					return err
+				}
+				fmt.Println(report)
+				if len(report.Broken) > 0 {
+					failed++
+					fmt.Println("logs are in", dir)
+				} else if err := os.RemoveAll(dir); err != nil {
+					return errors.Wrap(err, "logs")
+				}
+			}
+			if failed > 0 {
+				return errors.Errorf("%d seeds broke a promise", failed)
+			}
+			return nil
+		},
+	}
+}
--- a/standin/stagedengine/stagedengine.go
+++ b/standin/stagedengine/stagedengine.go
@@ -6,6 +6,8 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
+	"log"
 	"net"
 	"strconv"
 	"strings"
@@ -58,7 +60,10 @@
 		return nil, err
 	}
 	s := &Server{ID: id, address: listener.Addr().String(), behaviour: behaviour}
-	s.http = &fasthttp.Server{Handler: s.handle, DisablePreParseMultipartForm: true}
+	// Answers are lost on purpose; the server would report each.
+	s.http = &fasthttp.Server{
+		Handler: s.handle, DisablePreParseMultipartForm: true, Logger: log.New(io.Discard, "", 0),
+	}
 	go func() { _ = s.http.Serve(listener) }()
 	return s, nil
 }
--- a/world/configuration.go
+++ b/world/configuration.go
@@ -45,6 +45,8 @@
 	Target time.Duration
 	// TargetGap is the longest pause between events that earns full credit.
 	TargetGap time.Duration
+	// Patience is the time without an event after which callers leave a stream.
+	Patience time.Duration
 	// Rank orders routes by urgency, 0 first.
 	Rank     int
 	Shares   []Share
