ingress: entries tell each other of stalled servers; mirror, relay: ages of records

A server is now reported with the news when an answer that it has begun makes no progress for 0.9 s; the others rest it and take theirs back. An entry that stood still itself, or that sees a third of its servers silent, tells nothing. Each relayed record has its age now.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -114,6 +114,10 @@
 
 	strikes *quarantine.List
 	stalls  *stalls
+	// lookedAt is the time of the last look for stalled servers.
+	lookedAt time.Time
+	// told are the stalled servers that the next news names.
+	told []string
 	// waits is the longest that callers of a route wait.
 	waits map[string]time.Duration
 
@@ -242,6 +246,7 @@
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	swept := time.Now()
+	i.lookedAt = swept
 	for {
 		select {
 		case <-i.stop:
--- a/ingress/news.go
+++ b/ingress/news.go
@@ -66,7 +66,7 @@
 // broadcast sends news to the entries that are due for it.
 func (i *Ingress) broadcast(now time.Time, urgent bool) {
 	i.mu.Lock()
-	message := roster.News{Entry: i.describe(), Load: i.scheduler.Own(), Strikes: i.strikes.Strikes(now, strikesTold)}
+	message := roster.News{Entry: i.describe(), Load: i.scheduler.Own(), Strikes: i.strikes.Strikes(now, strikesTold), Stalled: i.told}
 	recipients := i.roster.Recipients(now, urgent)
 	i.mu.Unlock()
 	if len(recipients) == 0 {
@@ -123,6 +123,7 @@
 		i.scheduler.SetOthers(now, message.Entry.Peers, message.Load)
 		i.strikes.Merge(now, message.Strikes)
 		i.mu.Unlock()
+		i.hearStalled(now, message.Stalled)
 		if fresh {
 			i.log.Info("entry heard", zap.String("peer", message.Entry.Name))
 		}
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -12,10 +12,15 @@
 	// stallAfter is the silence of a server that has begun an answer, on all requests
 	// that it has, from which it counts as frozen or cut off. An engine sends the events
 	// of what it runs several times a second.
-	stallAfter = 1200 * time.Millisecond
+	stallAfter = 900 * time.Millisecond
 	// stallUnbegun is the same for a server that has begun none: a full engine begins
 	// nothing for as long as an answer takes, and then loads weights for 0.6 s.
 	stallUnbegun = 2 * time.Second
+	// ownStall is the time between two looks from which this process itself stood still.
+	ownStall = 400 * time.Millisecond
+	// suspectSelf is the part of the servers with requests, one in so many, above which
+	// their silence is taken for a fault of this entry's own network.
+	suspectSelf = 3
 )
 
 // stalls finds servers that have requests and make no progress on any of them. The
@@ -80,38 +85,107 @@
 	}
 }
 
-// stalled returns the servers without progress and the sendings to take back.
-func (s *stalls) stalled(now time.Time) (servers []string, taken []*sending) {
+// silent are the servers without progress.
+type silent struct {
+	servers []string
+	// evident are those of them that have begun an answer.
+	evident []string
+	// taken are the sendings to take back.
+	taken []*sending
+	// asked is the number of servers that have requests.
+	asked int
+}
+
+// stalled returns the servers without progress.
+func (s *stalls) stalled(now time.Time) silent {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	found := silent{asked: len(s.servers)}
 	for id, known := range s.servers {
-		if now.Sub(known.last) < known.bound() {
+		begun := known.begun()
+		bound := stallUnbegun
+		if begun {
+			bound = stallAfter
+		}
+		if now.Sub(known.last) < bound {
 			continue
 		}
-		servers = append(servers, id)
-		for one := range known.sendings {
-			if one.repeatable {
-				taken = append(taken, one)
-			}
+		found.servers = append(found.servers, id)
+		if begun {
+			found.evident = append(found.evident, id)
 		}
+		found.taken = append(found.taken, known.repeatable()...)
 	}
-	return servers, taken
+	return found
 }
 
-// bound is the silence from which the server counts as stalled.
-func (p *progress) bound() time.Duration {
+// at returns the sendings to take back from a server.
+func (s *stalls) at(server string) []*sending {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if known := s.servers[server]; known != nil {
+		return known.repeatable()
+	}
+	return nil
+}
+
+// restart counts every silence from now on, after a time in which this process itself
+// stood still.
+func (s *stalls) restart(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, known := range s.servers {
+		known.last = now
+	}
+}
+
+// begun tells whether the server has begun an answer.
+func (p *progress) begun() bool {
 	for one := range p.sendings {
 		if one.begun {
-			return stallAfter
+			return true
+		}
+	}
+	return false
+}
+
+// repeatable returns the sendings that may be taken back.
+func (p *progress) repeatable() []*sending {
+	var found []*sending
+	for one := range p.sendings {
+		if one.repeatable {
+			found = append(found, one)
 		}
 	}
-	return stallUnbegun
+	return found
 }
 
 // takeBack ends the sendings at servers that make no progress, so that they go on
-// elsewhere.
+// elsewhere, and tells the other entries of them: a server that one entry has left looks
+// idle to the others.
 func (i *Ingress) takeBack(now time.Time) {
-	servers, taken := i.stalls.stalled(now)
+	late := now.Sub(i.lookedAt) > ownStall
+	i.lookedAt = now
+	if late {
+		i.stalls.restart(now)
+		return
+	}
+	found := i.stalls.stalled(now)
+	i.rest(now, found.servers, found.taken)
+	if len(found.evident) == 0 || len(found.evident)*suspectSelf > found.asked {
+		return
+	}
+	i.mu.Lock()
+	i.told = found.evident
+	i.mu.Unlock()
+	i.broadcast(now, true)
+	i.mu.Lock()
+	i.told = nil
+	i.mu.Unlock()
+}
+
+// rest keeps requests from stalled servers and takes back those that are there.
+func (i *Ingress) rest(now time.Time, servers []string, taken []*sending) {
 	i.mu.Lock()
 	for _, server := range servers {
 		i.scheduler.Rest(now, server)
@@ -124,3 +198,14 @@
 		i.requests.write("servers stalled", []zap.Field{zap.Strings("servers", servers), zap.Int("taken-back", len(taken))})
 	}
 }
+
+// hearStalled takes another entry's word on stalled servers.
+func (i *Ingress) hearStalled(now time.Time, servers []string) {
+	var taken []*sending
+	for _, server := range servers {
+		taken = append(taken, i.stalls.at(server)...)
+	}
+	if len(servers) > 0 {
+		i.rest(now, servers, taken)
+	}
+}
--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -15,6 +15,9 @@
 
 type topicCopy struct {
 	records map[string]fuchsiarouter.KeyedRecord
+	// written holds the boot times at which the records may have been written at the
+	// earliest.
+	written map[string]time.Duration
 	end     int64
 	// changed is closed when a record comes.
 	changed chan struct{}
@@ -28,7 +31,9 @@
 	}
 	kept := c.topics[topic]
 	if kept == nil || read.whole {
-		fresh := &topicCopy{records: map[string]fuchsiarouter.KeyedRecord{}, changed: make(chan struct{})}
+		fresh := &topicCopy{
+			records: map[string]fuchsiarouter.KeyedRecord{}, written: map[string]time.Duration{}, changed: make(chan struct{}),
+		}
 		if kept != nil {
 			fresh.remove(kept, read)
 			close(kept.changed)
@@ -39,6 +44,7 @@
 	for _, record := range read.Records {
 		if record.Key != "" {
 			kept.records[record.Key] = record
+			kept.written[record.Key] = read.written(record)
 		}
 	}
 	kept.end = read.End
@@ -58,9 +64,9 @@
 	}
 }
 
-// since returns the newest record of each key from the offset on, and a channel that
-// is closed when there are more.
-func (c *copies) since(topic fuchsiarouter.Topic, from int64, removals bool) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
+// since returns the newest record of each key from the offset on, for a read that arrived
+// at the boot time, and a channel that is closed when there are more.
+func (c *copies) since(topic fuchsiarouter.Topic, from int64, removals bool, arrived time.Duration) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.topics[topic]
@@ -70,6 +76,7 @@
 	batch := fuchsiarouter.KeyedBatch{End: kept.end}
 	for _, record := range kept.records {
 		if record.Offset >= from && (removals || len(record.Value) > 0) {
+			record.Age = arrived - kept.written[record.Key]
 			batch.Records = append(batch.Records, record)
 		}
 	}
@@ -91,7 +98,7 @@
 func (m *Mirror) copy(topic fuchsiarouter.Topic, from int64, wait time.Duration, removals bool) (fuchsiarouter.KeyedBatch, bool) {
 	// The age is read before the records: they may be newer than it says, never older.
 	arrived, confirmed := m.settings.Clock(), m.confirmedAt(topic)
-	batch, changed, ok := m.copies.since(topic, from, removals)
+	batch, changed, ok := m.copies.since(topic, from, removals, arrived)
 	if ok && len(batch.Records) == 0 && wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
@@ -101,7 +108,7 @@
 		case <-m.stop:
 		}
 		confirmed = m.confirmedAt(topic)
-		batch, _, ok = m.copies.since(topic, from, removals)
+		batch, _, ok = m.copies.since(topic, from, removals, arrived)
 	}
 	batch.Relayed, batch.Age = true, arrived-confirmed
 	return batch, ok
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -175,6 +175,14 @@
 	return max(b.sent, b.received-answerDelay)
 }
 
+// written returns the same for one record of the batch.
+func (b *batch) written(record fuchsiarouter.KeyedRecord) time.Duration {
+	if b.Relayed && !b.first {
+		return b.sent - record.Age
+	}
+	return b.writtenBy()
+}
+
 // follow reads a topic until the mirror is closed.
 func (m *Mirror) follow(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(batch)) {
 	next, whole, failing := int64(0), true, false
@@ -326,7 +334,7 @@
 				view = view.WithConfiguration(change.Configuration)
 			}
 			if change.Model != "" {
-				view = view.WithTarget(change.Model, world.Target{Version: change.Version, Seen: read.writtenBy()})
+				view = view.WithTarget(change.Model, world.Target{Version: change.Version, Seen: read.written(record)})
 			}
 			return view
 		})
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -341,3 +341,43 @@
 		g.Expect(m.View().Configuration.Version).To(gomega.Equal(int64(40)))
 	})
 }
+
+// TestVersionThroughARelay guards against a version whose deadline is counted from the
+// moment at which another daemon passed it on, which could not read it before.
+func TestVersionThroughARelay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newStore()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		began := time.Now()
+		clock := func() time.Duration { return time.Since(began) }
+		reader := start(registry)
+		defer reader.Close()
+		time.Sleep(time.Second)
+		follower := mirror.New(registry, func() []fuchsiarouter.KeyedTopics { return []fuchsiarouter.KeyedTopics{copied{reader}} },
+			mirror.Settings{Clock: clock, RelayWait: 100 * time.Millisecond}, zap.NewNop(), func(*world.View) {})
+		defer follower.Close()
+		time.Sleep(time.Second)
+		registry.set(func() { registry.down = true })
+		declared := clock()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "2")
+		time.Sleep(700 * time.Millisecond)
+		registry.set(func() { registry.down = false })
+		time.Sleep(2 * time.Second)
+		g.Expect(follower.View().Targets["m"].Version).To(gomega.Equal(2))
+		g.Expect(follower.View().Targets["m"].Seen).To(gomega.BeNumerically("<=", declared))
+	})
+}
+
+// copied passes on what a mirror has.
+type copied struct{ reader *mirror.Mirror }
+
+func (c copied) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	batch, _ := c.reader.Read(topic, from, wait)
+	return batch, nil
+}
+
+func (c copied) Newest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, error) {
+	batch, _ := c.reader.Newest(topic)
+	return batch, nil
+}
--- a/registry.go
+++ b/registry.go
@@ -25,6 +25,9 @@
 	Offset int64
 	Key    string
 	Value  []byte
+	// Age is how old a relayed record may have been when the read arrived. It is negative
+	// when the daemon that passes it on has read it since.
+	Age time.Duration
 }
 
 // KeyedBatch is what was read of a topic.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -16,6 +16,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/boottime"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -31,6 +32,9 @@
 	// ageHeader carries the age of a batch in ns. It is not part of the body, so that
 	// several clients get the same one.
 	ageHeader = "Age-Ns"
+	// arrivedHeader carries the boot time in ns at which the read arrived, to which the
+	// ages of records in the body refer.
+	arrivedHeader = "Arrived-Ns"
 	// compressFrom is the size in bytes from which a body is compressed. A configuration
 	// of 1,500 routes has 400 KB, of which compression leaves a tenth; an entry passes it
 	// on to a zone of others over a link of 40 Mbit/s.
@@ -40,7 +44,16 @@
 // batchWire is a batch between daemons, without its age.
 type batchWire struct {
 	End     int64
-	Records []fuchsiarouter.KeyedRecord
+	Records []recordWire
+}
+
+// recordWire is a record between daemons. Written is a boot time of the daemon that passes
+// it on, which is the same for every reader, unlike an age.
+type recordWire struct {
+	Offset  int64
+	Key     string
+	Value   []byte
+	Written time.Duration
 }
 
 // Client reads topics through one entry.
@@ -94,6 +107,10 @@
 	if err != nil {
 		return fuchsiarouter.KeyedBatch{}, errors.Errorf("relay: age %q", response.Header.Peek(ageHeader))
 	}
+	arrived, err := strconv.ParseInt(string(response.Header.Peek(arrivedHeader)), 10, 64)
+	if err != nil {
+		return fuchsiarouter.KeyedBatch{}, errors.Wrap(err, "relay: time of arrival")
+	}
 	body, err := response.BodyUncompressed()
 	if err != nil {
 		return fuchsiarouter.KeyedBatch{}, errors.Wrap(err, "relay")
@@ -102,7 +119,13 @@
 	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&wire); err != nil {
 		return fuchsiarouter.KeyedBatch{}, errors.Wrap(err, "relay")
 	}
-	return fuchsiarouter.KeyedBatch{End: wire.End, Relayed: true, Age: time.Duration(age), Records: wire.Records}, nil
+	batch := fuchsiarouter.KeyedBatch{End: wire.End, Relayed: true, Age: time.Duration(age)}
+	for _, record := range wire.Records {
+		batch.Records = append(batch.Records, fuchsiarouter.KeyedRecord{
+			Offset: record.Offset, Key: record.Key, Value: record.Value, Age: time.Duration(arrived) - record.Written,
+		})
+	}
+	return batch, nil
 }
 
 // Copy is what an entry has read.
@@ -115,6 +138,7 @@
 func Handler(copied Copy) fasthttp.RequestHandler {
 	var bodies cache
 	return func(ctx *fasthttp.RequestCtx) {
+		arrived := boottime.Now()
 		query := ctx.QueryArgs()
 		topic := fuchsiarouter.Topic(query.GetUintOrZero("topic"))
 		from := int64(-1)
@@ -135,12 +159,13 @@
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 			return
 		}
-		body, err := bodies.encode(topic, from, batch)
+		body, err := bodies.encode(topic, from, arrived, batch)
 		if err != nil {
 			ctx.SetStatusCode(fasthttp.StatusInternalServerError)
 			return
 		}
 		ctx.Response.Header.Set(ageHeader, strconv.FormatInt(int64(batch.Age), 10))
+		ctx.Response.Header.Set(arrivedHeader, strconv.FormatInt(int64(arrived), 10))
 		if body.compressed {
 			ctx.Response.Header.SetContentEncoding("gzip")
 		}
--- a/roster/news.go
+++ b/roster/news.go
@@ -10,6 +10,8 @@
 	Load map[string]int `json:"load,omitempty"`
 	// Strikes are requests that were in progress at servers that crashed.
 	Strikes []fuchsiarouter.Strike `json:"strikes,omitempty"`
+	// Stalled are servers that make no progress on answers which they have begun.
+	Stalled []string `json:"stalled,omitempty"`
 	// Engine is set in the news of an agent.
 	Engine *Engine `json:"engine,omitempty"`
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -390,12 +390,14 @@
 	s.fill(now, group)
 }
 
-// Rest keeps requests from a server that makes no progress.
+// Rest keeps requests from a server that makes no progress, unless it rests already.
 func (s *Scheduler) Rest(now time.Time, id string) {
-	if known := s.servers[id]; known != nil {
-		known.until = now.Add(stallRest << min(known.stalls, stallDoublings))
-		known.stalls++
+	known := s.servers[id]
+	if known == nil || known.stalls > 0 && now.Before(known.until) {
+		return
 	}
+	known.until = now.Add(stallRest << min(known.stalls, stallDoublings))
+	known.stalls++
 }
 
 // Cancel takes a waiting request out. It reports false when it was granted before.
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -252,3 +252,16 @@
 	leaving.Resumed, leaving.GivesUp = true, start.Add(50*time.Millisecond)
 	g.Expect(s.Offer(start, leaving).Reason).To(gomega.Equal(schedule.Overloaded))
 }
+
+// TestRestIsNotExtended guards against a server that rests longer with each entry that
+// tells of its stall.
+func TestRestIsNotExtended(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z")
+	s.SetServers(start, engines("z"))
+	for at := range 20 {
+		s.Rest(start.Add(time.Duration(at)*50*time.Millisecond), "a")
+	}
+	later := start.Add(2100 * time.Millisecond)
+	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("a"))
+}
