--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -20,7 +20,7 @@
 	ownStall = 400 * time.Millisecond
 	// suspectSelf is the part of the servers with requests, one in so many, above which
 	// their silence is taken for a fault of this entry's own network.
-	suspectSelf = 3
+	suspectSelf = 2
 )
 
 // stalls finds servers that have requests and make no progress on any of them. The
--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -71,7 +71,7 @@
 		made.failed = true
 		return
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	made.status, made.body, made.failed = response.StatusCode, string(body), err != nil
 }
--- a/standin/soak/entry.go
+++ b/standin/soak/entry.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "address")
 		}
-		defer listener.Close()
+		defer func() { _ = listener.Close() }()
 		addresses[i] = listener.Addr().String()
 	}
 	_, text, err := net.SplitHostPort(addresses[3])
@@ -84,7 +84,7 @@
 	if err != nil {
 		return errors.Wrap(err, e.name)
 	}
-	defer log.Close()
+	defer func() { _ = log.Close() }()
 	command := exec.Command(e.binary, "ingress", "--node-file", e.settings)
 	command.Stdout, command.Stderr = log, log
 	// A child must not outlive a test that was killed.
@@ -141,7 +141,7 @@
 	if err != nil {
 		return false
 	}
-	defer response.Body.Close()
+	defer func() { _ = response.Body.Close() }()
 	_, err = io.Copy(io.Discard, response.Body)
 	return err == nil && response.StatusCode == http.StatusOK
 }
