--- a/dialect.go
+++ b/dialect.go
@@ -48,6 +48,8 @@
 	Mine bool
 	// NotRun tells that the server did not run the request.
 	NotRun bool
+	// Gone tells that another incarnation runs at the address of the server.
+	Gone bool
 	// Sealed tells that the server signed the answer.
 	Sealed bool
 	// Running, Waiting and Slots are the server's load, if HasLoad is set.
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -242,6 +242,11 @@
 	if accepted != nil {
 		status = accepted.answer.Header.StatusCode()
 		notRun = accepted.reply.NotRun
+		if accepted.reply.Gone {
+			i.mu.Lock()
+			i.scheduler.Gone(server.ID)
+			i.mu.Unlock()
+		}
 		_, _ = accepted.answer.ReadAll(answerLimit)
 		accepted.answer.Close()
 	}
--- a/loader/converge.go
+++ b/loader/converge.go
@@ -9,6 +9,7 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 	"github.com/fuchsiarouter/fuchsiarouter/world"
 )
 
@@ -57,6 +58,7 @@
 	pause := 4 * lookInterval
 	for _, model := range l.models(view) {
 		report, err := l.engine.Report()
+		l.noteEngine(err)
 		if err != nil {
 			pause = lookInterval
 			continue
@@ -81,6 +83,17 @@
 	return pause
 }
 
+// noteEngine logs when the engine is lost and when it answers again.
+func (l *Loader) noteEngine(err error) {
+	switch {
+	case err != nil && !l.engineLost:
+		l.log.Warn("engine lost", zap.String("engine", l.settings.Engine), telemetry.Cause(err))
+	case err == nil && l.engineLost:
+		l.log.Info("engine regained", zap.String("engine", l.settings.Engine))
+	}
+	l.engineLost = err != nil
+}
+
 // models returns the models of the engine's service. There are none until the other
 // servers are known, from which their versions come.
 func (l *Loader) models(view *world.View) []string {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -83,6 +83,8 @@
 	// engines is the state of the engine by model, changedAt the time of its last change.
 	engines   map[string]engineState
 	changedAt time.Time
+	// engineLost is set while the engine does not answer. It belongs to converge.
+	engineLost bool
 	// loadsAt is when the engine is expected to load, toldLoad when the entries were
 	// told of it last.
 	loadsAt  time.Time
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -222,7 +222,8 @@
 			continue
 		case err != nil:
 			if !failing {
-				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", way), telemetry.Cause(err))
+				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", way),
+					zap.Bool("relayed", relayed), telemetry.Cause(err))
 			}
 			pause := retryInterval
 			if !failing && len(ways) > 1 {
@@ -237,7 +238,7 @@
 			continue
 		}
 		if failing || path.changed(way) {
-			m.log.Info("registry regained", zap.Int("topic", int(topic)), zap.Int("way", way),
+			m.log.Info("registry regained", zap.Int("topic", int(topic)), zap.Int("way", way), zap.Bool("relayed", relayed),
 				zap.Duration("age", m.settings.Clock()-time.Duration(confirmed.Load())))
 			failing = false
 		}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -400,6 +400,14 @@
 	known.stalls++
 }
 
+// Gone keeps requests from a server of which another incarnation has answered, until it is
+// registered anew: after a loss of power its registration stays for seconds.
+func (s *Scheduler) Gone(id string) {
+	if known := s.servers[id]; known != nil {
+		known.gone = true
+	}
+}
+
 // Cancel takes a waiting request out. It reports false when it was granted before.
 func (s *Scheduler) Cancel(request *Request) bool {
 	if !request.waiting {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -265,3 +265,22 @@
 	later := start.Add(2100 * time.Millisecond)
 	g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("a"))
 }
+
+// TestGoneServers guards against requests that are sent again and again to a server that
+// has restarted, while its former registration is still there.
+func TestGoneServers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z")
+	servers := engines("z", "far")
+	s.SetServers(start, servers)
+	s.Gone("a")
+	for at := range 2 {
+		later := start.Add(time.Duration(at) * 10 * time.Second)
+		g.Expect(s.Offer(later, request(1, later)).Server).To(gomega.Equal("b"))
+	}
+	restarted := *servers["a"]
+	restarted.Born = 2
+	servers["a"] = &restarted
+	s.SetServers(start, servers)
+	g.Expect(s.Offer(start, request(1, start)).Server).To(gomega.Equal("a"))
+}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -21,6 +21,8 @@
 	// stalls counts how often in a row it made no progress.
 	stalls int
 	until  time.Time
+	// gone is set when another incarnation has answered at its address.
+	gone bool
 	// ahead is what the agent beside the server says of it, which is newer than its
 	// registration until aheadUntil.
 	ahead      map[string]int
@@ -31,7 +33,7 @@
 
 // fits tells whether the server may run the request.
 func (s *server) fits(now time.Time, request *Request, version int) bool {
-	if s.Draining || slices.Contains(request.Tried, s.ID) {
+	if s.Draining || s.gone || slices.Contains(request.Tried, s.ID) {
 		return false
 	}
 	if request.Model == "" {
