--- a/Makefile
+++ b/Makefile
@@ -25,6 +25,14 @@
 soak:
 	RAPID_SEED=0 RAPID_CHECKS=$(CHECKS) go test -count=1 -timeout 30m $(PROPERTIES)
 
+# soak-faults runs entries of the users' platform as processes under random faults and
+# checks what callers and servers see.
+FIRST ?= 1
+RUNS ?= 10
+.PHONY: soak-faults
+soak-faults: build
+	bin/standin soak --seed $(FIRST) --runs $(RUNS)
+
 # measure runs every experiment with one seed and writes the figures.
 SEED ?= 1
 .PHONY: measure
