supply: only engines of the own zone give more than what is theirs to give

Agents whose own pieces were done at a source that has all of them asked it for all other pieces too, also across regions: 54 copies of 2.36 MB over links of 3.5 MB/s, 18 s, by arithmetic. Ruled out: engines that are down (a new log line showed none), loaders that wait for nothing (they log it), a list of servers that is missing. Change: a source in another zone gives its own part only. TestOnlyTheOwnZoneHelps is new.

--- a/loader/draw.go
+++ b/loader/draw.go
@@ -46,8 +46,10 @@
 	asked map[int]int
 	// wanted are the missing pieces by source, as planned last.
 	wanted map[string][]int
-	// complete are the sources that have every piece.
+	// complete are the sources that have every piece, helpers those of them that may give
+	// what is not theirs to give.
 	complete map[string]bool
+	helpers  map[string]bool
 	running  map[string]int
 	// leftOut is the time until which a source is not asked.
 	leftOut map[string]time.Time
@@ -110,7 +112,7 @@
 	plan, addresses, complete := d.loader.plan(view, d.model, d.version, func(id string) bool {
 		return now.Before(d.leftOut[id])
 	})
-	d.wanted = map[string][]int{}
+	d.wanted, d.helpers = map[string][]int{}, map[string]bool{}
 	for _, piece := range d.shelf.left() {
 		source := plan.Source(piece)
 		d.wanted[source] = append(d.wanted[source], piece)
@@ -123,6 +125,7 @@
 	}
 	d.complete = complete
 	for _, source := range slices.Sorted(maps.Keys(d.wanted)) {
+		d.helpers[source] = plan.Helps(source)
 		loops := 1
 		if source == supply.Origin {
 			loops = originDraws
@@ -139,7 +142,7 @@
 }
 
 // next returns the pieces that a source is to give and that are not on their way. A
-// source that has every piece helps out when its own are done.
+// helper gives others when its own are done.
 func (d *draw) next(source string) []int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -156,7 +159,7 @@
 		return free
 	}
 	wanted := open(d.wanted[source])
-	if len(wanted) == 0 && d.complete[source] {
+	if len(wanted) == 0 && d.helpers[source] {
 		for other, pieces := range d.wanted {
 			if other != source {
 				wanted = append(wanted, open(pieces)...)
--- a/supply/supply.go
+++ b/supply/supply.go
@@ -109,6 +109,13 @@
 	return p.drawers[(piece+p.version)%len(p.drawers)]
 }
 
+// Helps tells whether a supplier may give more than the pieces that are its to give, when
+// it is done with those: one that has all of them, in the own zone. Agents that took
+// everything from another zone would fill the link to it many times over.
+func (p *Plan) Helps(id string) bool {
+	return slices.ContainsFunc(p.nearGivers, func(giver Supplier) bool { return giver.ID == id })
+}
+
 // deal returns the supplier whose turn a piece is, or the next one that has not
 // failed.
 func (p *Plan) deal(suppliers []Supplier, piece int) string {
--- a/supply/supply_test.go
+++ b/supply/supply_test.go
@@ -147,3 +147,19 @@
 		}
 	}
 }
+
+// TestOnlyTheOwnZoneHelps guards against agents that all take a whole version over the link
+// between zones, after a loss of power that one zone alone has weights after.
+func TestOnlyTheOwnZoneHelps(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := fleet(4)
+	for i := range 4 {
+		all[i].Complete = true
+	}
+	near, far := plan(all, 3), plan(all, 5)
+	for i := range 3 {
+		g.Expect(near.Helps(all[i].ID)).To(gomega.BeTrue())
+		g.Expect(far.Helps(all[i].ID)).To(gomega.BeFalse())
+	}
+	g.Expect(near.Helps(all[6].ID)).To(gomega.BeFalse())
+}
