ingress: log how the body of a response ends

Change: the line request ended has the framing of the last response and the bytes after the last whole event of a stream. No decision changes. Measured: TestFraming.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -195,6 +195,18 @@
 // Length returns the length of the body in bytes, negative if it is not known in advance.
 func (r *Response) Length() int { return r.length }
 
+// Framing returns how the server marks the end of the body: "length", "chunked" or, if the
+// body ends with the connection, "close".
+func (r *Response) Framing() string {
+	switch {
+	case r.length >= 0:
+		return "length"
+	case r.length == -1:
+		return "chunked"
+	}
+	return "close"
+}
+
 // Read implements io.Reader. A truncated body ends with an error other than io.EOF, except
 // if the body has no length and is not chunked: its end is that of the connection.
 func (r *Response) Read(buffer []byte) (int, error) {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -158,6 +158,22 @@
 	g.Expect(s.connections.Load()).To(gomega.Equal(int32(2)))
 }
 
+// TestFraming guards against a log that names the wrong end of a response, which is what tells
+// a response that was cut off from one that its server ended early.
+func TestFraming(t *testing.T) {
+	for reply, framing := range map[string]string{
+		"HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 0\r\n\r\n":                   "length",
+		"HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n": "chunked",
+		"HTTP/1.1 200 OK\r\nId: 1\r\n\r\nCLOSE":                                   "close",
+	} {
+		g := gomega.NewWithT(t)
+		response, err := send(exchange.New(), startServer(t, func(int) string { return reply }))
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(response.Framing()).To(gomega.Equal(framing))
+		response.Close()
+	}
+}
+
 // TestRefusedConnectionIsNotSent guards against treating a request whose connection was
 // refused as one that may have run.
 func TestRefusedConnectionIsNotSent(t *testing.T) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -228,6 +228,7 @@
 	if err != nil {
 		return nil, err
 	}
+	r.framing = httpResponse.Framing()
 	i.stallDetector.recordProgress(time.Now(), r.activeAttempt)
 	i.mu.Lock()
 	i.scheduler.RecordFirstEvent(r.service, r.rank, time.Since(sentAt))
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -87,6 +87,12 @@
 	// lastServer is the ID of the server that the request was sent to last, for the log
 	// line at the end of the request. It is empty if the request was never sent.
 	lastServer string
+	// framing is how the server marks the end of the body of its response, for the log line
+	// at the end of the request. It is empty if there was no response.
+	framing string
+	// partialEventBytes is the number of bytes after the last whole event of a streamed
+	// response that has ended.
+	partialEventBytes int
 	// finished is set once the end of the request is recorded.
 	finished bool
 }
@@ -314,6 +320,12 @@
 	if r.workspace != "" {
 		fields = append(fields, zap.String("workspace", r.workspace))
 	}
+	if r.framing != "" {
+		fields = append(fields, zap.String("framing", r.framing))
+	}
+	if r.partialEventBytes > 0 {
+		fields = append(fields, zap.Int("partial-event-bytes", r.partialEventBytes))
+	}
 	if detail != "" {
 		fields = append(fields, zap.String("detail", detail))
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -109,6 +109,7 @@
 		e.ingress.stallDetector.recordProgress(time.Now(), e.request.activeAttempt)
 	}
 	if errors.Is(err, io.EOF) {
+		e.request.partialEventBytes = len(e.buffered) - e.completeBytes
 		e.completeBytes, e.atEOF = len(e.buffered), true
 		return nil
 	}
