--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -31,11 +31,13 @@
 
 // configurationFormat is the platform's configuration. Its formatting verbs stand for the
 // version of the configuration and the API keys of workspace w, quoted and separated by
-// commas. There is one route of each kind: "stream" for streams that can be resumed, "unsafe"
-// for non-repeatable requests and "safe" for repeatable ones.
+// commas. The routes are /llm/ for streams that can be resumed, /once/ for streams that can't,
+// /book/ for non-repeatable requests and /stock/ for repeatable ones.
 const configurationFormat = `{"version":%d,"routes":[
  {"name":"draft","host":"h.example","pathPrefix":"/llm/","kind":"stream","timeoutMs":5000,"targetLatencyMs":1000,"priority":1,
   "service":"llm","maxAttempts":2,"sticky":true,"resumable":true},
+ {"name":"once","host":"h.example","pathPrefix":"/once/","kind":"stream","timeoutMs":5000,"targetLatencyMs":1000,"priority":1,
+  "service":"llm","maxAttempts":2,"sticky":true},
  {"name":"booking","host":"h.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":1000,"service":"plain","maxAttempts":1},
  {"name":"stock","host":"h.example","pathPrefix":"/stock/","kind":"safe","timeoutMs":1000,"service":"plain","maxAttempts":2}],
  "services":[{"name":"plain"},{"name":"llm","engine":{"slots":4,"models":[{"name":"m"}]}}],
