ingress: a stream that ends inside an event has been broken off

Cause: eventStream passed on what was left at each regular end of a response as if it ended the stream. With neither a length nor chunks, the end of the connection is such an end, and a server that breaks off its answer closes the connection, too. Change: the end of a stream is checked against its events, not against its framing. An end inside an event is a failure of the server: a resumable stream goes on at another server after its last whole event, another one is cut, and the rest of the event is not passed on. A failure or a success with another content type has no events and is passed on as before. Events may end with any line ends, since a stream whose events are not recognized would now never be complete. Why it works: callers count pieces by events; an event that is not whole can't be the last one.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -245,7 +245,7 @@
 	switch {
 	case response.reply.NotRun:
 		return false
-	case status >= 200 && status < 300:
+	case isSuccess(status):
 		return response.reply.Signed
 	case status == fasthttp.StatusServiceUnavailable, status == fasthttp.StatusTooManyRequests,
 		status == fasthttp.StatusRequestTimeout:
@@ -258,6 +258,9 @@
 	return true
 }
 
+// isSuccess reports whether an HTTP status is a success.
+func isSuccess(status int) bool { return status >= 200 && status < 300 }
+
 // handleFailedAttempt ends an attempt without a response that can be passed to the caller,
 // and releases its server. response is nil if there was none, and err says why. It counts
 // a possible run unless the request certainly did not run, marks a server that was replaced,
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 	"time"
 
 	"github.com/go-faster/errors"
+	"github.com/valyala/fasthttp"
 
 	"github.com/fuchsiarouter/fuchsiarouter/result"
 	"github.com/fuchsiarouter/fuchsiarouter/schedule"
@@ -22,22 +24,33 @@
 // errEventTooLong reports an event of more than maxEventBytes.
 var errEventTooLong = errors.New("an event of the stream exceeds the limit")
 
-// eventSeparator ends an event of a stream. eventIDField begins the line with the event's
-// ID.
+// errCutInsideEvent reports a stream whose server ended it inside an event. However the server
+// marks the end of its response, such a stream has been broken off.
+var errCutInsideEvent = errors.New("the stream ended inside an event")
+
+// eventSeparators are the ends of an event of a stream, one for each kind of line end.
+// eventIDField begins the line with the event's ID.
 var (
-	eventSeparator = []byte("\n\n")
-	eventIDField   = []byte("id:")
+	eventSeparators = [][]byte{[]byte("\n\n"), []byte("\n\r\n"), []byte("\r\r")}
+	eventIDField    = []byte("id:")
 )
 
+// eventStreamMediaType is the content type of a stream of events.
+const eventStreamMediaType = "text/event-stream"
+
+// maxSeparatorBytes is the length of the longest of eventSeparators.
+const maxSeparatorBytes = 3
+
 // eventStream passes the events of a server's response to the caller, whole events only.
-// When the server is lost, a resumable stream is continued on another server after the
-// last event that was passed to the caller.
+// When the server is lost or ends its response inside an event, a resumable stream is
+// continued on another server after the last event that was passed to the caller. A response
+// that is no stream of events, such as a failure, is passed on as it is.
 type eventStream struct {
 	ingress  *Ingress
 	request  *request
 	response *serverResponse
 	// buffered holds the bytes that the caller has not read yet; the first completeBytes
-	// of them are whole events or, once atEOF is set, all that is left.
+	// of them are whole events or, at the end of a response without events, all that is left.
 	buffered      []byte
 	completeBytes int
 	// lastEventID is the ID of the last event that the caller has, empty if it has none or
@@ -86,7 +99,7 @@
 }
 
 // fill reads more of the server's response into the buffer. It returns nil at the regular
-// end of the response.
+// end of the response, and errCutInsideEvent if that is inside an event.
 func (e *eventStream) fill() error {
 	if cap(e.buffered)-len(e.buffered) < streamReadBytes {
 		grown := make([]byte, len(e.buffered), 2*cap(e.buffered)+streamReadBytes)
@@ -98,9 +111,9 @@
 	e.buffered = e.buffered[:len(e.buffered)+n]
 	complete := e.completeBytes
 	// The separator may begin in the bytes of the previous read.
-	searchFrom := max(len(e.buffered)-n-len(eventSeparator)+1, e.completeBytes)
-	if at := bytes.LastIndex(e.buffered[searchFrom:], eventSeparator); at >= 0 {
-		e.completeBytes = searchFrom + at + len(eventSeparator)
+	searchFrom := max(len(e.buffered)-n-maxSeparatorBytes+1, e.completeBytes)
+	if end := lastEventEnd(e.buffered[searchFrom:]); end > 0 {
+		e.completeBytes = searchFrom + end
 	}
 	// A server that sends an event byte by byte makes no progress, one that sends a long event
 	// over a slow link does.
@@ -109,7 +122,10 @@
 		e.ingress.stallDetector.recordProgress(time.Now(), e.request.activeAttempt)
 	}
 	if errors.Is(err, io.EOF) {
-		e.request.partialEventBytes = len(e.buffered) - e.completeBytes
+		e.request.partialEventBytes = len(bytes.TrimLeft(e.buffered[e.completeBytes:], "\r\n"))
+		if e.request.partialEventBytes > 0 && isEventStream(e.response.http.Header) {
+			return errCutInsideEvent
+		}
 		e.completeBytes, e.atEOF = len(e.buffered), true
 		return nil
 	}
@@ -119,9 +135,28 @@
 	return err
 }
 
+// lastEventEnd returns the position after the last event that ends in the buffer, or 0 if none
+// does.
+func lastEventEnd(buffer []byte) int {
+	end := 0
+	for _, separator := range eventSeparators {
+		if at := bytes.LastIndex(buffer, separator); at >= 0 {
+			end = max(end, at+len(separator))
+		}
+	}
+	return end
+}
+
+// isEventStream reports whether a response is a stream of events. It is one if it is a success
+// and doesn't state another content type.
+func isEventStream(header *fasthttp.ResponseHeader) bool {
+	mediaType, _, _ := strings.Cut(string(header.ContentType()), ";")
+	mediaType = strings.TrimSpace(mediaType)
+	return isSuccess(header.StatusCode()) && (mediaType == "" || strings.EqualFold(mediaType, eventStreamMediaType))
+}
+
 // Read implements io.Reader. It returns bytes only of events that have arrived whole, except
-// at the regular end of the response, where it returns all that is left. It resumes the
-// stream on another server if the current one is lost.
+// of a response without events. It resumes the stream on another server if the current one is lost.
 func (e *eventStream) Read(buffer []byte) (int, error) {
 	for e.completeBytes == 0 {
 		if e.atEOF {
--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -6,7 +6,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -86,10 +85,11 @@
 	time.Sleep(700 * time.Millisecond)
 }
 
-// frame returns a signed response to the request with the status line and body, whose end is
-// marked as framing says: "length", "chunked" or "close".
-func frame(request *http.Request, framing, status, body string) string {
-	head := "HTTP/1.1 " + status + "\r\nX-Attempt-Id: " + request.Header.Get("X-Attempt-Id") + "\r\nX-Server-Seal: s\r\n"
+// frame returns a signed response to the request. start is the status, which further header
+// lines may follow. The end of the body is marked as framing says: "length", "chunked" or
+// "close".
+func frame(request *http.Request, framing, start, body string) string {
+	head := "HTTP/1.1 " + start + "\r\nX-Attempt-Id: " + request.Header.Get("X-Attempt-Id") + "\r\nX-Server-Seal: s\r\n"
 	switch framing {
 	case "length":
 		return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(body), body)
@@ -117,17 +117,9 @@
 	}
 }
 
-// skipKnownRed skips a test that KNOWN-RED.txt lists, unless KNOWN_RED is set.
-func skipKnownRed(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("passed over, see KNOWN-RED.txt")
-	}
-}
-
 // TestStreamEndingInsideEventIsCut guards against a stream that a server broke off inside an
 // event and that looks complete to the caller.
 func TestStreamEndingInsideEventIsCut(t *testing.T) {
-	skipKnownRed(t)
 	for _, framing := range framings {
 		for name, body := range map[string]string{
 			"first event":            "id: 1\nda",
@@ -157,7 +149,6 @@
 // TestStreamEndingInsideEventResumes guards against a resumable stream that ends early because
 // its server broke it off inside an event.
 func TestStreamEndingInsideEventResumes(t *testing.T) {
-	skipKnownRed(t)
 	for _, framing := range framings {
 		t.Run(framing, func(t *testing.T) {
 			g := gomega.NewWithT(t)
@@ -176,23 +167,25 @@
 }
 
 // TestWholeResponsesOnStreamRoutes guards against taking a whole response on a stream route for
-// one that was broken off: a stream with any framing and any line ends, and a failure, which has
-// no events.
+// one that was broken off: a stream with any framing and any line ends, a failure, and a success
+// that is no stream of events.
 func TestWholeResponsesOnStreamRoutes(t *testing.T) {
 	for _, framing := range framings {
 		for _, example := range []struct {
-			name, status, body string
-			code               int
+			name, start, body string
+			code              int
 		}{
 			{"events", "200 OK", streamBody(1, 5), http.StatusOK},
 			{"carriage returns", "200 OK", strings.ReplaceAll(streamBody(1, 5), "\n", "\r\n"), http.StatusOK},
+			{"stated type", "200 OK\r\nContent-Type: text/event-stream; charset=utf-8", streamBody(1, 5), http.StatusOK},
+			{"other type", "200 OK\r\nContent-Type: application/json", `{"text":"whole"}`, http.StatusOK},
 			{"failure", "400 Bad Request", `{"error":"no such model"}`, http.StatusBadRequest},
 		} {
 			t.Run(framing+", "+example.name, func(t *testing.T) {
 				g := gomega.NewWithT(t)
 				f := startFleet(t)
 				f.removeServers(f.llmServers)
-				f.newScriptedServer("s0", "llm", func(request *http.Request) string { return frame(request, framing, example.status, example.body) })
+				f.newScriptedServer("s0", "llm", func(request *http.Request) string { return frame(request, framing, example.start, example.body) })
 				awaitRegistrations()
 				status, received, _, err := f.send("POST", "/llm/x", "k1", "")
 				g.Expect(err).NotTo(gomega.HaveOccurred())
