ingress: log the parts of a prompt with the crash of its server

Cause: a server crashed line names the fingerprint of one request, so it can't be seen what the requests of several crashes have in common. Change: the dialect reads the IDs of the parts; the line has them and the request's ID. No decision changes.

--- a/dialect.go
+++ b/dialect.go
@@ -26,6 +26,10 @@
 	PromptTokens          int
 	MaxOutputTokens       int
 	EstimatedOutputTokens int
+	// PromptParts are the IDs of the parts that make up the prompt, in order. Prompts share
+	// parts; the last one belongs to this request or its session alone. It is empty if the
+	// caller doesn't say.
+	PromptParts []string
 }
 
 // UpstreamHeaders are the values that an entry adds to the head of a caller's request
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -295,7 +295,7 @@
 		r.possibleRuns++
 	}
 	if err != nil && outcome == schedule.Failed && time.Until(r.deadline) > 0 {
-		i.background.Go(func() { i.probeForCrash(server, r.fingerprint) })
+		i.background.Go(func() { i.probeForCrash(server, r.AttemptID, r.fingerprint, r.PromptParts) })
 	}
 	i.requestLog.write("sending failed", []zap.Field{
 		zap.String("request-id", r.AttemptID), zap.String("server", server.ID), zap.Int("status", status),
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -59,7 +59,7 @@
 // probeForCrash checks whether the server of a failed attempt has crashed, which is the
 // case if its address refuses connections, and then records a strike for the request. A
 // lost response alone is no evidence of a crash.
-func (i *Ingress) probeForCrash(server *catalog.Server, fingerprint string) {
+func (i *Ingress) probeForCrash(server *catalog.Server, attemptID, fingerprint string, promptParts []string) {
 	time.Sleep(crashProbeDelay)
 	conn, err := tcp.Dial(server.Address, crashProbeTimeout)
 	if err == nil {
@@ -72,5 +72,8 @@
 	i.mu.Lock()
 	i.strikes.RecordBrokenConnection(time.Now(), server.ID, server.ID+"/"+strconv.FormatInt(server.Started, 10), fingerprint)
 	i.mu.Unlock()
-	i.requestLog.write("server crashed", []zap.Field{zap.String("server", server.ID), zap.String("fingerprint", fingerprint)})
+	i.requestLog.write("server crashed", []zap.Field{
+		zap.String("server", server.ID), zap.String("request-id", attemptID), zap.String("fingerprint", fingerprint),
+		zap.Strings("prompt-parts", promptParts),
+	})
 }
