--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -95,17 +95,24 @@
 		store.Put(keyedstore.TopicServers, llm.ID, llm.Registration("llm", "z", "ready", `{"name":"m","version":1}`))
 		store.Put(keyedstore.TopicServers, plain.ID, plain.Registration("plain", "z", "ready", ""))
 	}
-	f.ingress, err = ingress.New(ingress.Settings{
-		Name: "e", AvailabilityZone: "z", Region: "r", CallerAddress: f.callerAddress, ReadinessAddress: f.readinessAddress, PeerAddress: allocateAddress(),
+	f.ingress = f.newIngress("e", f.callerAddress, f.readinessAddress)
+	t.Cleanup(store.Close)
+	g.Eventually(f.isReady, waitTimeout).Should(gomega.BeTrue())
+	return f
+}
+
+// newIngress starts an ingress with the name, which listens for callers and readiness checks at
+// the addresses.
+func (f *testFleet) newIngress(name, callerAddress, readinessAddress string) *ingress.Ingress {
+	started, err := ingress.New(ingress.Settings{
+		Name: name, AvailabilityZone: "z", Region: "r", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, PeerAddress: allocateAddress(),
 		KeyRevocation: 5 * time.Second, StopGrace: 3 * time.Second, VersionDeadline: 8 * time.Second,
 		DirectoryTTL: 5 * time.Second, ResendRatio: 0.2, ResendAllowance: 100, ResendWindow: 10 * time.Second,
-	}, platform.Dialect{}, platform.NewRegistry(store.Address()),
+	}, platform.Dialect{}, platform.NewRegistry(f.store.Address()),
 		ingress.Handlers{Directory: platform.DirectoryHandler, Readiness: platform.ReadinessHandler},
 		zap.NewNop(), telemetry.NewMetrics("ingress"))
-	g.Expect(err).NotTo(gomega.HaveOccurred())
-	t.Cleanup(store.Close)
-	g.Eventually(f.isReady, waitTimeout).Should(gomega.BeTrue())
-	return f
+	gomega.NewWithT(f.t).Expect(err).NotTo(gomega.HaveOccurred())
+	return started
 }
 
 // publishConfiguration puts the configuration with the version and the API keys into the
