quarantine, ingress: refuse parts of prompts that crash servers

Cause: the quarantine knew a request by the whole of its content. Requests that share one deadly part and nothing else never gathered strikes. Change: quarantine.Parts. At a crash the shared parts of the requests in progress, of which the server had not written an answer for 0.25 s, are candidates; sound answers clear parts; a part that is left over in three incidents is refused, the latest in its prompts first, and explains its crashes for all others, such as the first part that all deadly prompts have. Crashes within 0.1 s are one incident, and answers without the part must have been seen, so that a common failure of servers refuses nothing. Entries exchange crashes and cleared parts with their status messages, as ages. Requests in progress with a part that is refused now are taken back. Why it works: a deadly part is in every crash and in no sound answer, a sound one is answered somewhere within seconds.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -195,16 +195,23 @@
 // Length returns the length of the body in bytes, negative if it is not known in advance.
 func (r *Response) Length() int { return r.length }
 
-// Framing returns how the server marks the end of the body: "length", "chunked" or, if the
-// body ends with the connection, "close".
+// The ways in which a server marks the end of a body: by its length, by a last chunk, or by
+// closing the connection.
+const (
+	FramingLength  = "length"
+	FramingChunked = "chunked"
+	FramingClose   = "close"
+)
+
+// Framing returns how the server marks the end of the body.
 func (r *Response) Framing() string {
 	switch {
 	case r.length >= 0:
-		return "length"
+		return FramingLength
 	case r.length == -1:
-		return "chunked"
+		return FramingChunked
 	}
-	return "close"
+	return FramingClose
 }
 
 // Read implements io.Reader. A truncated body ends with an error other than io.EOF, except
--- a/fuchsiarouter.go
+++ b/fuchsiarouter.go
@@ -223,6 +223,38 @@
 	AtMilliseconds int64 `json:"at-ms"`
 }
 
+// PartReport tells other daemons which parts of prompts may crash backend servers, see
+// quarantine.Parts.
+type PartReport struct {
+	_       struct{} `cbor:",toarray"`
+	Crashes []PartCrash
+	Cleared []ClearedPart
+}
+
+// IsEmpty reports whether there is nothing to tell.
+func (r PartReport) IsEmpty() bool { return len(r.Crashes) == 0 && len(r.Cleared) == 0 }
+
+// PartCrash records that a backend server crashed, with the parts of prompts that may be the
+// cause.
+type PartCrash struct {
+	_ struct{} `cbor:",toarray"`
+	// CrashID identifies the crash as in a Strike.
+	CrashID string
+	// AgeMilliseconds is the time since the crash.
+	AgeMilliseconds int64
+	// Positions is the index in a prompt by the ID of the part.
+	Positions map[string]int
+}
+
+// ClearedPart records that a part which was taken for the cause of a crash is sound.
+type ClearedPart struct {
+	_ struct{} `cbor:",toarray"`
+	// Part is the ID of the part.
+	Part string
+	// AgeMilliseconds is the time since a sound answer to a request with the part.
+	AgeMilliseconds int64
+}
+
 // Member is the description of a daemon that it sends in its heartbeats.
 type Member struct {
 	ID          string     `json:"id"`
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -84,6 +84,9 @@
 			}
 			continue
 		}
+		if isSuccess(response.http.Header.StatusCode()) {
+			i.recordSound(r)
+		}
 		i.copyResponseHead(r, response)
 		r.ctx.Response.SetBodyRaw(body)
 		response.http.Close()
@@ -219,7 +222,7 @@
 			defer timer.Stop()
 		}
 	}
-	r.activeAttempt = &activeAttempt{server: server.ID, cancel: cancel, resendable: r.route.IsIdempotent()}
+	r.activeAttempt = &activeAttempt{server: server.ID, cancel: cancel, resendable: r.route.IsIdempotent(), promptParts: r.PromptParts}
 	i.stallDetector.add(sentAt, r.activeAttempt)
 	httpResponse, err := i.upstream.Send(ctx, exchange.Target{Address: server.Address, ID: server.ID, Incarnation: server.Started},
 		head, r.deadline, func(header *fasthttp.ResponseHeader) bool {
@@ -290,12 +293,15 @@
 		outcome = schedule.Refused
 		failure = &result.Error{Code: result.QueueFull, Message: "the server refused the request", RetryAfter: notReadyRetryAfter}
 	}
+	suspect := crashSuspect{
+		attemptID: r.AttemptID, fingerprint: r.fingerprint, promptParts: r.PromptParts, sound: i.stallDetector.isSound(r.activeAttempt),
+	}
 	i.releaseServer(r, server.ID, outcome)
 	if !notRun {
 		r.possibleRuns++
 	}
 	if err != nil && outcome == schedule.Failed && time.Until(r.deadline) > 0 {
-		i.background.Go(func() { i.probeForCrash(server, r.AttemptID, r.fingerprint, r.PromptParts) })
+		i.background.Go(func() { i.probeForCrash(server, suspect) })
 	}
 	i.requestLog.write("sending failed", []zap.Field{
 		zap.String("request-id", r.AttemptID), zap.String("server", server.ID), zap.Int("status", status),
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -178,8 +178,8 @@
 		r.workspace = workspace.Name
 	}
 	r.fingerprint = requestFingerprint(&r.ctx.Request, r.APIKey)
-	if i.isQuarantined(r.fingerprint) {
-		return &result.Error{Code: result.CrashedServers, Message: "the request has crashed servers", RetryAfter: crashRetryAfter}
+	if failure := i.checkCrashes(r); failure != nil {
+		return failure
 	}
 	timeout := r.route.Timeout
 	if timeout <= 0 {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -160,7 +160,9 @@
 
 	// strikes holds the fingerprints of the requests that were in progress at servers
 	// which crashed.
-	strikes       *quarantine.List
+	strikes *quarantine.List
+	// promptParts holds the parts of prompts that are suspected of crashes.
+	promptParts   *quarantine.Parts
 	stallDetector *stallDetector
 	// stallsCheckedAt is the time of the last check for stalled servers.
 	stallsCheckedAt time.Time
@@ -211,6 +213,7 @@
 		scheduler: schedule.New(settings.AvailabilityZone, roster.ServerKey), resendBudgets: map[string]*resendBudget{},
 		longestTimeouts: map[string]time.Duration{}, stallDetector: newStallDetector(), stallsReportedAt: map[string]time.Time{},
 		strikes:          quarantine.New(quarantine.Settings{StrikeLifetime: strikeTTL, RefuseFrom: refusalStrikes}),
+		promptParts:      quarantine.NewParts(),
 		declaredVersions: map[string][]catalog.DeclaredVersion{}, peerHTTP: relay.NewHTTPClient(), startedUnixMs: time.Now().UnixMilli(),
 		stop: make(chan struct{}), rosterRead: make(chan struct{}), rosterWaitOver: make(chan struct{}),
 	}
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,6 +60,11 @@
 	resendable bool
 	// responseBegun is set once a part of the response has arrived.
 	responseBegun bool
+	// promptParts are the parts of the prompt of the request.
+	promptParts []string
+	// sound is set once the server has written an answer for a while or to its end, so that
+	// the request doesn't crash servers.
+	sound bool
 }
 
 func newStallDetector() *stallDetector { return &stallDetector{servers: map[string]*serverProgress{}} }
@@ -87,6 +93,38 @@
 	}
 }
 
+// markSound marks an attempt as sound. It reports whether it was not marked before.
+func (s *stallDetector) markSound(attempt *activeAttempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	wasSound := attempt.sound
+	attempt.sound = true
+	return !wasSound
+}
+
+// isSound reports whether an attempt is marked as sound. It may be nil.
+func (s *stallDetector) isSound(attempt *activeAttempt) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return attempt != nil && attempt.sound
+}
+
+// unsoundAttempts returns the attempts that are not marked as sound and whose prompts have one
+// of the parts.
+func (s *stallDetector) unsoundAttempts(parts []string) []*activeAttempt {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var attempts []*activeAttempt
+	for _, server := range s.servers {
+		for attempt := range server.attempts {
+			if !attempt.sound && slices.ContainsFunc(attempt.promptParts, func(part string) bool { return slices.Contains(parts, part) }) {
+				attempts = append(attempts, attempt)
+			}
+		}
+	}
+	return attempts
+}
+
 // remove stops tracking an attempt that has ended.
 func (s *stallDetector) remove(attempt *activeAttempt) {
 	s.mu.Lock()
--- a/ingress/status.go
+++ b/ingress/status.go
@@ -97,6 +97,7 @@
 	}
 	report := i.roster.NewReport(now)
 	report.Strikes, report.Stalled, report.Urgent = i.strikes.Strikes(now, maxStrikesPerMessage), stalled, urgent
+	report.Parts = i.partReport(now)
 	i.mu.Unlock()
 	if len(others) > 0 {
 		i.sendMessage(&roster.Message{Report: &report}, others...)
@@ -126,6 +127,7 @@
 	i.mu.Lock()
 	digest := i.roster.ZoneDigest(now, listed)
 	digest.Strikes, digest.Stalled, digest.Urgent = i.strikes.Strikes(now, maxStrikesPerMessage), stalled, urgent
+	digest.Parts = i.partReport(now)
 	i.mu.Unlock()
 	i.sendMessage(&roster.Message{Digest: &digest}, targets...)
 }
@@ -136,10 +138,21 @@
 	i.mu.Lock()
 	digest := i.roster.DigestFor(now, address, report.Members, report.Wanted, report.WantLoad)
 	digest.Strikes, digest.Stalled = i.strikes.Strikes(now, maxStrikesPerMessage), stalled
+	digest.Parts = i.partReport(now)
 	i.mu.Unlock()
 	i.sendMessage(&roster.Message{Digest: &digest}, address)
 }
 
+// partReport returns what other entries need to know of the parts of prompts, or nil if there
+// is nothing to tell. The caller holds the lock.
+func (i *Ingress) partReport(now time.Time) *fuchsiarouter.PartReport {
+	report := i.promptParts.Report(now)
+	if report.IsEmpty() {
+		return nil
+	}
+	return &report
+}
+
 // passOn sends what this relay knows, with the IDs of stalled servers, to all entries whose
 // reports it answers, except the one with the given address, and to the relays of the other
 // zones.
@@ -230,6 +243,7 @@
 	membersChanged := i.noteMembers(now)
 	i.mu.Unlock()
 	i.applyPeerStalls(now, stalled)
+	i.mergeParts(now, report.Parts)
 	i.sendDigest(now, report.Entry.PeerAddress, report, nil)
 	if report.Urgent && (len(stalled) > 0 || membersChanged) {
 		i.passOn(now, stalled, report.Entry.PeerAddress)
@@ -253,6 +267,7 @@
 	membersChanged := i.noteMembers(now)
 	i.mu.Unlock()
 	i.applyPeerStalls(now, stalled)
+	i.mergeParts(now, digest.Parts)
 	if answer {
 		i.sendZoneDigest(now, true, nil, false, digest.Sender)
 	}
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -9,6 +9,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/fuchsiarouter/fuchsiarouter/exchange"
 	"github.com/fuchsiarouter/fuchsiarouter/result"
 	"github.com/fuchsiarouter/fuchsiarouter/schedule"
 )
@@ -64,6 +65,8 @@
 	// which events were last passed to the caller.
 	firstEventAt time.Time
 	lastReadAt   time.Time
+	// answerBegan is the time at which the first event of the current server was read.
+	answerBegan time.Time
 }
 
 // runStream sends the request to servers until it has read the first event of a stream,
@@ -90,7 +93,7 @@
 			return failure
 		}
 	}
-	e.firstEventAt = time.Now()
+	e.firstEventAt, e.answerBegan = time.Now(), time.Now()
 	r.timeToFirstEvent = e.firstEventAt.Sub(r.received)
 	i.metrics.recordFirstEvent(r.timeToFirstEvent)
 	i.copyResponseHead(r, e.response)
@@ -168,6 +171,12 @@
 			}
 		}
 	}
+	switch now := time.Now(); {
+	case e.answerBegan.IsZero():
+		e.answerBegan = now
+	case now.Sub(e.answerBegan) >= soundAnswerAge:
+		e.ingress.recordSound(e.request)
+	}
 	n := copy(buffer, e.buffered[:e.completeBytes])
 	e.recordLastEventID(e.buffered[:n])
 	e.lastReadAt = time.Now()
@@ -200,7 +209,7 @@
 		failure = result.StreamCut.Error("the stream broke off and cannot be resumed")
 	}
 	if failure == nil {
-		e.buffered, e.completeBytes = e.buffered[:0], 0
+		e.buffered, e.completeBytes, e.answerBegan = e.buffered[:0], 0, time.Time{}
 		r.scheduling.Resumed = true
 		if r.route.Patience > 0 {
 			r.scheduling.AbandonAt = e.lastReadAt.Add(r.route.Patience)
@@ -241,6 +250,9 @@
 		outcome := schedule.Cancelled
 		if code == result.OK {
 			outcome = schedule.Completed
+			if e.response.http.Framing() != exchange.FramingClose && isEventStream(e.response.http.Header) {
+				e.ingress.recordSound(e.request)
+			}
 			e.ingress.recordGeneration(e.request, time.Since(e.firstEventAt))
 		}
 		e.ingress.releaseServer(e.request, e.response.server.ID, outcome)
--- a/roster/message.go
+++ b/roster/message.go
@@ -43,6 +43,8 @@
 	// WantLoad is set when the receiver is the first relay of the zone for the sender, which
 	// uses the loads of that one only.
 	WantLoad bool `cbor:"8,keyasint,omitempty"`
+	// Parts tells which parts of prompts may crash backend servers.
+	Parts *fuchsiarouter.PartReport `cbor:"10,keyasint,omitempty"`
 }
 
 // Digest is what a relay tells the entries of its zone, or the relays of other zones.
@@ -76,6 +78,8 @@
 	Engines []EngineStatus         `cbor:"10,keyasint,omitempty"`
 	// Urgent makes the relay of another zone pass the content on at once.
 	Urgent bool `cbor:"11,keyasint,omitempty"`
+	// Parts is as in a Report, from all entries.
+	Parts *fuchsiarouter.PartReport `cbor:"15,keyasint,omitempty"`
 }
 
 // ZoneEntries is the set of the live entries of an availability zone.
--- a/standin/platformtest/deadly_part_test.go
+++ b/standin/platformtest/deadly_part_test.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -146,9 +145,6 @@
 // since no two of them are alike but for one part of their prompts, and against refusing the
 // sound requests that share their caller and first part. They come at two entries.
 func TestDeadlyPromptPartIsRefused(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("passed over, see KNOWN-RED.txt")
-	}
 	g := gomega.NewWithT(t)
 	f := startFleet(t)
 	second := allocateAddress()
