ingress: ask the quarantine again before each send

Seen: requests that wait in the queue of an entry crash servers although their content is refused by then. Cause: the quarantine was asked at the arrival of a request only. Change: it is asked again when a server is assigned, for the content and the parts of the prompt.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -123,6 +123,11 @@
 		if failure != nil {
 			return nil, failure
 		}
+		// What crashes servers may have been found since the request arrived.
+		if failure := i.checkCrashes(r); failure != nil {
+			i.releaseServer(r, server.ID, schedule.Cancelled)
+			return nil, r.withPossibleRun(failure)
+		}
 		response, err := i.sendOnce(r, server, lastEvent)
 		if err == nil && i.isDeliverable(r, response) {
 			return response, nil
--- a/standin/platformtest/deadly_part_test.go
+++ b/standin/platformtest/deadly_part_test.go
@@ -34,6 +34,8 @@
 	fleet   *testFleet
 	name    string
 	address string
+	// extraDelay is added to the time before the answer to a deadly request.
+	extraDelay time.Duration
 	// crashes and deadlyRequests count over all crashing servers of a test.
 	crashes, deadlyRequests *atomic.Int32
 
@@ -104,6 +106,7 @@
 		isDeadly := strings.Contains(request.Header.Get("X-Prompt-Prefix"), deadlyPart+":")
 		if isDeadly {
 			s.deadlyRequests.Add(1)
+			time.Sleep(s.extraDelay)
 		}
 		time.Sleep(60 * time.Millisecond)
 		text := frame(request, "chunked", "200 OK", streamBody(1, 5))
@@ -191,3 +194,29 @@
 	g.Expect(deadly).To(gomega.BeNumerically("<=", 3))
 	g.Expect(soundServed * 2).To(gomega.BeNumerically(">", sound))
 }
+
+// TestQueuedRequestIsNotSentAfterItsRefusal guards against sending a request that waited in the
+// queue of the entry while others with the same content crashed servers. The servers crash one
+// after the other, and the first is back when the third crashes.
+func TestQueuedRequestIsNotSentAfterItsRefusal(t *testing.T) {
+	const servers, slots, requests = 4, 4, 60
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	f.removeServers(f.llmServers)
+	var crashes, deadlyRequests atomic.Int32
+	for index := range servers {
+		server := &crashingServer{
+			fleet: f, name: fmt.Sprint("c", index), address: allocateAddress(), extraDelay: time.Duration(index) * 300 * time.Millisecond,
+			crashes: &crashes, deadlyRequests: &deadlyRequests,
+		}
+		server.start()
+	}
+	awaitRegistrations()
+	var load sync.WaitGroup
+	for range requests {
+		load.Go(func() { f.sendPrompt(t.Context(), f.callerAddress, deadlyPart, "same") })
+	}
+	load.Wait()
+	t.Logf("%d crashes, %d requests at servers", crashes.Load(), deadlyRequests.Load())
+	g.Expect(deadlyRequests.Load()).To(gomega.BeNumerically("<=", servers*slots))
+}
