exchange, platformtest: heads that a server cuts

Cause: other operators report callers that got a 200 with an empty or short body after a server had stopped in the middle of its head (MIXED, ORDER). The product is not changed.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -146,6 +146,23 @@
 	}
 }
 
+// TestHeadThatIsCut guards against taking a response that ends inside its head for a complete one
+// with an empty body. The head is cut after each byte.
+func TestHeadThatIsCut(t *testing.T) {
+	for _, framing := range []string{"Content-Length: 2\r\n", "Transfer-Encoding: chunked\r\n", "Connection: close\r\n"} {
+		head := "HTTP/1.1 200 OK\r\nId: 1\r\n" + framing + "\r\n"
+		var cut atomic.Int32
+		s := startServer(t, func(int) string { return head[:cut.Load()] + "CLOSE" })
+		for ; int(cut.Load()) < len(head); cut.Add(1) {
+			g := gomega.NewWithT(t)
+			body, err := sendAndReadAll(exchange.New(), s)
+			g.Expect(err).To(gomega.HaveOccurred(), "%q gives %q", head[:cut.Load()], body)
+			g.Expect(errors.Is(err, exchange.ErrNotSent)).To(gomega.BeFalse())
+			<-s.connClosed
+		}
+	}
+}
+
 // TestResponseWithoutLength guards against rejecting a response that ends with its
 // connection, and against reusing that connection.
 func TestResponseWithoutLength(t *testing.T) {
--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -134,12 +134,17 @@
 // send sends a request with the API key to the ingress and returns the status, body and
 // headers of the response. The request allows 3 s for the response.
 func (f *testFleet) send(method, path, key, body string) (int, string, http.Header, error) {
+	return f.sendWithID(fmt.Sprintf("%x", time.Now().UnixNano()), method, path, key, body)
+}
+
+// sendWithID is send for a request with an attempt ID.
+func (f *testFleet) sendWithID(id, method, path, key, body string) (int, string, http.Header, error) {
 	request, err := http.NewRequest(method, "http://"+f.callerAddress+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", nil, err
 	}
 	request.Host = "h.example"
-	request.Header.Set("X-Attempt-Id", fmt.Sprintf("%x", time.Now().UnixNano()))
+	request.Header.Set("X-Attempt-Id", id)
 	request.Header.Set("X-Deadline-Ms", "3000")
 	request.Header.Set("X-Model", "m")
 	request.Header.Set("Authorization", "Bearer "+key)
--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -64,6 +64,7 @@
 			return
 		}
 		_, _ = io.Copy(io.Discard, request.Body)
+		request.RemoteAddr = conn.RemoteAddr().String()
 		s.runs.Add(1)
 		text, closeConn := strings.CutSuffix(s.reply(request), closeMark)
 		if _, err := io.WriteString(conn, text); err != nil || closeConn {
