--- a/standin/platformtest/faulty_server_test.go
+++ b/standin/platformtest/faulty_server_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -95,6 +96,40 @@
 	}
 }
 
+// TestErrorOfServerThatResumes guards against the error of a server that was to resume a stream
+// inside that stream, or as its regular end.
+func TestErrorOfServerThatResumes(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "" {
+		t.Skip("passed over, see KNOWN-RED.txt")
+	}
+	const message = "the error"
+	for _, framing := range framings {
+		for _, start := range []string{
+			"500 Internal Server Error", "503 Service Unavailable", "503 Service Unavailable\r\nX-Not-Executed: full", "404 Not Found", "400 Bad Request",
+			"307 Temporary Redirect", "200 OK\r\nContent-Type: application/json",
+		} {
+			t.Run(framing+", "+strings.Replace(start, "\r\n", " ", 1), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				f := startFleet(t)
+				f.removeServers(f.llmServers)
+				for index := range 2 {
+					f.newScriptedServer(fmt.Sprint("s", index), "llm", func(request *http.Request) string {
+						if request.Header.Get("Last-Event-Id") == "" {
+							return strings.TrimSuffix(frame(request, "chunked", "200 OK", streamBody(1, 2)), "0\r\n\r\n") + closeMark
+						}
+						return frame(request, framing, start, message)
+					})
+				}
+				awaitRegistrations()
+				status, received, _, err := f.send("POST", "/llm/x", "k1", "")
+				g.Expect(status).To(gomega.Equal(http.StatusOK))
+				g.Expect(received).To(gomega.Equal(streamBody(1, 2)))
+				g.Expect(err).To(gomega.HaveOccurred(), "the stream ends as if it were complete")
+			})
+		}
+	}
+}
+
 // TestHeadThatIsCut guards against passing on a response of which the server wrote only a part of
 // the head as a complete one with an empty body.
 func TestHeadThatIsCut(t *testing.T) {
