--- a/roster/parts_test.go
+++ b/roster/parts_test.go
@@ -14,7 +14,7 @@
 func TestPartReportInMessages(t *testing.T) {
 	g := gomega.NewWithT(t)
 	report := &fuchsiarouter.PartReport{
-		Crashes: []fuchsiarouter.PartCrash{{CrashID: "i-1/2", AgeMilliseconds: 5, Positions: map[string]int{"a1": 1}}},
+		Crashes: []fuchsiarouter.PartCrash{{CrashID: "i-1/2", AgeMilliseconds: 5, Positions: map[string]int{"a1": 1}, SoundRequests: 3}},
 		Cleared: []fuchsiarouter.ClearedPart{{Part: "b2", AgeMilliseconds: 7}},
 	}
 	for _, message := range []roster.Message{
