--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -221,3 +221,57 @@
 		})
 	}
 }
+
+// TestStreamEndingBeforeFirstEvent guards against an empty stream that looks complete to the caller.
+func TestStreamEndingBeforeFirstEvent(t *testing.T) {
+	for _, start := range []string{"200 OK", "200 OK\r\nContent-Type: text/event-stream"} {
+		t.Run(strings.Replace(start, "\r\n", " ", 1), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := startFleet(t)
+			f.removeServers(f.llmServers)
+			var sends atomic.Int32
+			for index := range 2 {
+				f.newScriptedServer(fmt.Sprint("s", index), "llm", func(request *http.Request) string {
+					if sends.Add(1) == 1 {
+						return frame(request, "close", start, "")
+					}
+					return frame(request, "close", start, streamBody(1, 5))
+				})
+			}
+			awaitRegistrations()
+			status, received, _, err := f.send("POST", "/llm/x", "k1", "")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(received).To(gomega.Equal(streamBody(1, 5)))
+			sends.Store(0)
+			status, received, _, err = f.send("POST", "/once/x", "k1", "")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusBadGateway), received)
+			g.Expect(sends.Load()).To(gomega.BeEquivalentTo(1))
+		})
+	}
+}
+
+// TestResumedStreamEndingBeforeNextEvent guards against a stream without an event that had begun.
+func TestResumedStreamEndingBeforeNextEvent(t *testing.T) {
+	for _, framing := range framings {
+		t.Run(framing, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			f := startFleet(t)
+			f.removeServers(f.llmServers)
+			for index := range 2 {
+				f.newScriptedServer(fmt.Sprint("s", index), "llm", func(request *http.Request) string {
+					if request.Header.Get("Last-Event-Id") == "2" {
+						return frame(request, framing, "200 OK", "")
+					}
+					return frame(request, framing, "200 OK", streamBody(1, 2)+"id: 3\nda")
+				})
+			}
+			awaitRegistrations()
+			status, received, _, err := f.send("POST", "/llm/x", "k1", "")
+			g.Expect(status).To(gomega.Equal(http.StatusOK))
+			g.Expect(received).To(gomega.Equal(streamBody(1, 2)))
+			g.Expect(err).To(gomega.HaveOccurred(), "the stream ends as if it were complete")
+		})
+	}
+}
