schedule: late requests leave slots to those in time, however few the entries

Cause: late requests left slots only in a zone of eight entries or more, for it was held that one of few entries has a request in time in its queue whenever it matters. It has not: with a target of 400 ms and 300 ms to the first event, a request may wait 140 ms, a second one is refused, and the next slot finds a late one only. Change: the number of entries no longer matters. TestLateRequestsLeaveSlots asked that a late request of a zone of seven entries takes the slot; it asks now that one of two entries doesn't, and that it takes one while fewer than half of the slots are in use.

--- a/Makefile
+++ b/Makefile
@@ -14,7 +14,7 @@
 # The property tests use a fixed seed, so that the result for a commit is reproducible.
 test: build
 	@for script in standin/scenario/known-red/*.txtar; do echo "passed over, see KNOWN-RED.txt: $$script"; done
-	@echo "passed over, see KNOWN-RED.txt: schedule TestManyEntriesServeReturningCallers, TestFewEntriesServeInTimeFirst"
+	@echo "passed over, see KNOWN-RED.txt: schedule TestManyEntriesServeReturningCallers"
 	RAPID_SEED=1 go test -count=1 -timeout 5m ./... ./standin/...
 
 # soak runs the property tests with random seeds and many more cases. Add a regression test
--- a/schedule/fleet_test.go
+++ b/schedule/fleet_test.go
@@ -370,7 +370,6 @@
 // TestFewEntriesServeInTimeFirst guards against responses to returning callers, which are late,
 // while requests that could be in time are refused, in a zone of few entries.
 func TestFewEntriesServeInTimeFirst(t *testing.T) {
-	skipKnownRed(t)
 	for _, requestsPerSecond := range []float64{85, 120} {
 		var late, served [3]int
 		for seed := range uint64(4) {
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -27,9 +27,9 @@
 // requests that were sent to a server, so that a flood in one rank does not starve the less
 // urgent ones. A request that has already missed its target, the time by which its response
 // should begin, is queued two ranks lower, but requests whose response had begun on a
-// server that was lost go first. No request is queued longer than its caller waits. In a zone
-// of many entries, each of which rarely has a request in time in its queue when a slot becomes
-// free, requests that have missed their target get fewer slots while others are refused.
+// server that was lost go first. No request is queued longer than its caller waits. An entry rarely
+// has a request in time in its queue when a slot becomes free, so requests that have missed
+// their target get fewer slots while others are refused.
 //
 // The scheduler is designed for a load of 1.3 times the capacity over a whole day, with
 // bursts in which a single rank has 2.6 times its usual request rate.
@@ -60,11 +60,10 @@
 	// to what lowerRankSlotShare withholds.
 	overservedSlotReserve = 0.25
 	// lateSlotShare is the share of a model engine's slots that requests may use which have
-	// missed their target, while requests that could meet theirs are refused and the zone has
-	// manyEntries or more. An entry among many often has none of those queued when a slot
-	// becomes free; one among few has, so a slot kept free for them would only be idle.
+	// missed their target, while requests that could meet theirs are refused. An entry often has
+	// none of those queued when a slot becomes free, since they may wait only shortly, but gets one
+	// soon after.
 	lateSlotShare = 0.5
-	manyEntries   = 8
 	// lowServedShare is the served share of a rank below which requests that could meet
 	// their target count as refused.
 	lowServedShare = 0.9
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -328,8 +328,8 @@
 }
 
 // TestLateRequestsLeaveSlots guards against late requests that take the slots of those in
-// time, which an entry among many rarely has in its queue, against leaving slots idle in a
-// zone of few entries, and against leaving them idle long after the last refusal.
+// time, which an entry rarely has in its queue, whether it is one of many or of few, against
+// slots that are too few for late ones, and against leaving slots idle long after the last refusal.
 func TestLateRequestsLeaveSlots(t *testing.T) {
 	g := gomega.NewWithT(t)
 	late := func(at time.Time) *schedule.Request {
@@ -340,7 +340,8 @@
 	now := start.Add(time.Second)
 	g.Expect(overloadedServer(8, 4).Submit(now, late(now)).Server).To(gomega.BeEmpty())
 	g.Expect(overloadedServer(8, 4).Submit(now, newRequest(1, now)).Server).To(gomega.Equal("a"))
-	g.Expect(overloadedServer(7, 4).Submit(now, late(now)).Server).To(gomega.Equal("a"))
+	g.Expect(overloadedServer(2, 4).Submit(now, late(now)).Server).To(gomega.BeEmpty())
+	g.Expect(overloadedServer(2, 2).Submit(now, late(now)).Server).To(gomega.Equal("a"))
 	now = start.Add(time.Minute)
 	g.Expect(overloadedServer(8, 4).Submit(now, late(now)).Server).To(gomega.Equal("a"))
 }
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -36,7 +36,6 @@
 // zone. With fewer servers than entries, several entries prefer the same server. Without any
 // server in the zone, all servers are preferred.
 func (s *Scheduler) assignPreferredServers(svc *service) {
-	svc.hasManyEntries = s.entryCount >= manyEntries
 	count := 0
 	for _, server := range svc.servers {
 		if server.AvailabilityZone == s.zone {
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -76,7 +76,7 @@
 // the server may be sent the request while fewer requests than this are in flight there.
 func (s *server) capacityFor(now time.Time, request *Request, svc *service) int {
 	slots := max(s.Slots, 1)
-	yields := request.isLate() && svc.hasManyEntries && svc.refusesInTime(now)
+	yields := request.isLate() && svc.refusesInTime(now)
 	share := lowerRankSlotShare
 	switch {
 	case request.Model == "":
--- a/schedule/service.go
+++ b/schedule/service.go
@@ -15,8 +15,6 @@
 	// the time of the last renewal.
 	borrowable   int
 	borrowableAt time.Time
-	// hasManyEntries is set if the availability zone has manyEntries or more.
-	hasManyEntries bool
 	// queue holds the queued requests, sorted by compareQueueOrder.
 	queue []*Request
 	// completionRate is the number of requests of this entry to the service that complete
