--- a/Makefile
+++ b/Makefile
@@ -20,7 +20,7 @@
 # soak runs the property tests with random seeds and many more cases. Add a regression test
 # for each case that fails here.
 CHECKS ?= 2000
-PROPERTIES := ./claim ./quarantine ./quota ./rank ./retry ./revision ./routing
+PROPERTIES := ./availability ./claim ./quarantine ./quota ./rank ./retry ./revision ./routing
 .PHONY: soak
 soak:
 	RAPID_SEED=0 RAPID_CHECKS=$(CHECKS) go test -count=1 -timeout 30m $(PROPERTIES)
