ingress, schedule: servers that leave or ask for a pause get no further requests

Cause: the headers Server-Leaving and Retry-After of a server were not read. Change: the head of each response is read for both, also of one that is not passed on. A leaving incarnation gets nothing more of any entry: entries tell each other at once and list the leaving servers in each message. A pause holds for the entry that was asked; the server is not ejected. Requests that no server takes in time are refused at once, 2005 if all leave and the new 2012 if all are paused. A connection that took long to open is not written to after either. Ruled out: telling other entries of a pause, since it is meant for one; using a leaving server when no other is left, since it says that it takes none.

--- a/dialect.go
+++ b/dialect.go
@@ -69,6 +69,14 @@
 	// Signed reports whether the server signed the response. A successful response without
 	// a signature is not passed to the caller. The signature itself is not verified.
 	Signed bool
+	// Leaving reports whether the server states that it leaves and takes no further requests.
+	Leaving bool
+	// Pause is for how long the server takes no requests of the entry, 0 if it doesn't ask for
+	// that. PauseText is the text from which it was read. PauseMalformed reports that the text is
+	// not a number of seconds, so that a default applies.
+	Pause          time.Duration
+	PauseText      string
+	PauseMalformed bool
 	// Running, Waiting and Slots are the load of the server in requests: those that it
 	// runs, those that wait there, and the maximum that it runs at the same time. They
 	// are valid if HasLoad is set.
--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -54,6 +54,10 @@
 // ErrNotSent reports that no connection was made, so the request cannot have run.
 var ErrNotSent = errors.New("request not sent")
 
+// ErrWithheld reports that the request was not sent since its server takes none any more. It is an
+// ErrNotSent.
+var ErrWithheld = errors.Wrap(ErrNotSent, "the server takes no requests now")
+
 // ErrUnidentified reports a response that does not say which of the requests on its connection
 // it belongs to.
 var ErrUnidentified = errors.New("response without the ID of a request on a connection that has carried others")
@@ -142,12 +146,20 @@
 // which tells the server that the request is cancelled. The function match reports how a
 // response with the given head relates to the request; up to maxStrayResponses responses to
 // other requests are skipped, and more of them are an error. The error is ErrUnidentified if a
-// server repeated an earlier response without an ID, or may have done so.
-func (c *Client) Send(ctx context.Context, target Target, request []byte, deadline time.Time, match func(*fasthttp.ResponseHeader) Match) (*Response, error) {
+// server repeated an earlier response without an ID, or may have done so. Opening a connection
+// takes time, after which the function takes reports whether the request may still be sent; the
+// error is ErrWithheld if not.
+func (c *Client) Send(ctx context.Context, target Target, request []byte, deadline time.Time, match func(*fasthttp.ResponseHeader) Match,
+	takes func() bool,
+) (*Response, error) {
 	conn, err := c.acquire(target)
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "%v", err)
 	}
+	if !takes() {
+		c.closeRemoved(conn)
+		return nil, ErrWithheld
+	}
 	stopAbort := context.AfterFunc(ctx, func() { tcp.Abort(conn.Conn) })
 	response := &Response{client: c, deadline: deadline, conn: conn, stopAbort: stopAbort}
 	_ = conn.SetDeadline(deadline)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -87,7 +87,7 @@
 }
 
 func send(client *exchange.Client, s *testServer) (*exchange.Response, error) {
-	return client.Send(context.Background(), s.target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline), matchID)
+	return client.Send(context.Background(), s.target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline), matchID, func() bool { return true })
 }
 
 func sendAndReadAll(client *exchange.Client, s *testServer) (string, error) {
@@ -264,7 +264,7 @@
 	s := startServer(t, func(int) string { return "" })
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err := exchange.New().Send(ctx, s.target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline), matchID)
+	_, err := exchange.New().Send(ctx, s.target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline), matchID, func() bool { return true })
 	g.Expect(err).To(gomega.HaveOccurred())
 	g.Eventually(s.connClosed, deadline).Should(gomega.Receive())
 }
@@ -280,7 +280,7 @@
 	target := exchange.Target{Address: listener.Addr().String(), ID: "i"}
 	ctx, cancel := context.WithCancel(context.Background())
 	time.AfterFunc(50*time.Millisecond, cancel)
-	_, err = exchange.New().Send(ctx, target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline), matchID)
+	_, err = exchange.New().Send(ctx, target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline), matchID, func() bool { return true })
 	g.Expect(err).To(gomega.HaveOccurred())
 	conn, err := listener.Accept()
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -186,6 +186,8 @@
 		code = result.NoServer
 	case schedule.Expired:
 		code = result.DeadlineUnreachable
+	case schedule.Paused:
+		code = result.ServersPaused
 	}
 	return &result.Error{Code: code, Message: string(decision.Reason), RetryAfter: decision.RetryAfter}
 }
@@ -231,14 +233,16 @@
 	i.stallDetector.add(sentAt, r.activeAttempt)
 	httpResponse, err := i.upstream.Send(ctx, exchange.Target{Address: server.Address, ID: server.ID, Incarnation: server.Started},
 		head, r.deadline, func(header *fasthttp.ResponseHeader) exchange.Match {
-			switch reply := i.dialect.ParseResponse(header, r.AttemptID); {
+			reply := i.dialect.ParseResponse(header, r.AttemptID)
+			i.recordAvailability(r, server, reply)
+			switch {
 			case reply.MatchesRequest:
 				return exchange.Belongs
 			case reply.LacksRequestID:
 				return exchange.Unidentified
 			}
 			return exchange.Other
-		})
+		}, func() bool { return i.stillTakes(server) })
 	if err != nil {
 		return nil, err
 	}
@@ -304,6 +308,9 @@
 		outcome = schedule.Refused
 		failure = &result.Error{Code: result.QueueFull, Message: "the server refused the request", RetryAfter: notReadyRetryAfter}
 	}
+	if errors.Is(err, exchange.ErrWithheld) || outcome != schedule.Cancelled && response != nil && response.reply.Pause > 0 {
+		outcome = schedule.AskedForPause
+	}
 	suspect := crashSuspect{
 		attemptID: r.AttemptID, fingerprint: r.fingerprint, promptParts: r.PromptParts, sound: i.stallDetector.isSound(r.activeAttempt),
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -187,6 +187,8 @@
 	// requests are refused.
 	draining  atomic.Bool
 	rejecting atomic.Bool
+	// pauseMalformed is set after the first pause of a server that is not in seconds.
+	pauseMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
 	inFlight atomic.Int64
 	// httpServers holds all HTTP servers that were started. One of them is callerServer,
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -68,6 +68,12 @@
 	inFlight         tally.Gauge
 	// configurationAge is the age of the copy of the configuration, in seconds.
 	configurationAge tally.Gauge
+	// serversLeaving counts the servers that have told this entry that they leave, serverPauses the
+	// pauses that servers have asked it for, and requestsWithheld the requests that were not sent
+	// to a selected server for either reason.
+	serversLeaving   tally.Counter
+	serverPauses     tally.Counter
+	requestsWithheld tally.Counter
 	// serverConnections is the number of open connections to backend servers.
 	serverConnections tally.Gauge
 }
@@ -80,6 +86,9 @@
 		timeToFirstEvent:  scope.Histogram("first_event_seconds", latencyBuckets),
 		inFlight:          scope.Gauge("requests_in_flight"),
 		configurationAge:  scope.Gauge("view_age_seconds"),
+		serversLeaving:    scope.Counter("servers_leaving"),
+		serverPauses:      scope.Counter("server_pauses"),
+		requestsWithheld:  scope.Counter("requests_withheld"),
 		serverConnections: scope.Gauge("server_connections"),
 	}
 }
--- a/ingress/status.go
+++ b/ingress/status.go
@@ -97,7 +97,7 @@
 	}
 	report := i.roster.NewReport(now)
 	report.Strikes, report.Stalled, report.Urgent = i.strikes.Strikes(now, maxStrikesPerMessage), stalled, urgent
-	report.Parts = i.partReport(now)
+	report.Parts, report.Leaving = i.partReport(now), i.scheduler.Leaving(maxLeavingPerMessage)
 	i.mu.Unlock()
 	if len(others) > 0 {
 		i.sendMessage(&roster.Message{Report: &report}, others...)
@@ -127,7 +127,7 @@
 	i.mu.Lock()
 	digest := i.roster.ZoneDigest(now, listed)
 	digest.Strikes, digest.Stalled, digest.Urgent = i.strikes.Strikes(now, maxStrikesPerMessage), stalled, urgent
-	digest.Parts = i.partReport(now)
+	digest.Parts, digest.Leaving = i.partReport(now), i.scheduler.Leaving(maxLeavingPerMessage)
 	i.mu.Unlock()
 	i.sendMessage(&roster.Message{Digest: &digest}, targets...)
 }
@@ -138,7 +138,7 @@
 	i.mu.Lock()
 	digest := i.roster.DigestFor(now, address, report.Members, report.Wanted, report.WantLoad)
 	digest.Strikes, digest.Stalled = i.strikes.Strikes(now, maxStrikesPerMessage), stalled
-	digest.Parts = i.partReport(now)
+	digest.Parts, digest.Leaving = i.partReport(now), i.scheduler.Leaving(maxLeavingPerMessage)
 	i.mu.Unlock()
 	i.sendMessage(&roster.Message{Digest: &digest}, address)
 }
@@ -241,11 +241,12 @@
 	i.applyEngines(now, report.Engines)
 	stalled := i.takeNewStalls(now, report.Stalled)
 	membersChanged := i.noteMembers(now)
+	leavingAdded := i.mergeLeaving(now, report.Leaving, report.Entry.Name)
 	i.mu.Unlock()
 	i.applyPeerStalls(now, stalled)
 	i.mergeParts(now, report.Parts)
 	i.sendDigest(now, report.Entry.PeerAddress, report, nil)
-	if report.Urgent && (len(stalled) > 0 || membersChanged) {
+	if report.Urgent && (len(stalled) > 0 || membersChanged || leavingAdded) {
 		i.passOn(now, stalled, report.Entry.PeerAddress)
 	}
 	if discovered {
@@ -265,13 +266,14 @@
 	i.applyEngines(now, digest.Engines)
 	stalled := i.takeNewStalls(now, digest.Stalled)
 	membersChanged := i.noteMembers(now)
+	leavingAdded := i.mergeLeaving(now, digest.Leaving, digest.Sender)
 	i.mu.Unlock()
 	i.applyPeerStalls(now, stalled)
 	i.mergeParts(now, digest.Parts)
 	if answer {
 		i.sendZoneDigest(now, true, nil, false, digest.Sender)
 	}
-	if digest.Urgent && (len(stalled) > 0 || membersChanged) {
+	if digest.Urgent && (len(stalled) > 0 || membersChanged || leavingAdded) {
 		i.passOnInZone(now, stalled, "")
 	}
 }
--- a/result/result.go
+++ b/result/result.go
@@ -98,6 +98,9 @@
 	Preempted = Code{2010, "preempted", 503, RanNo, RetryYes}
 	// CallerLeft means that the caller closed its connection before the request ran.
 	CallerLeft = Code{2011, "caller-left", 503, RanNo, RetryYes}
+	// ServersPaused means that all backend servers which could run the request have asked for a
+	// pause.
+	ServersPaused = Code{2012, "servers-paused", 503, RanNo, RetryYes}
 	// ServerLost means that no response of the backend server arrived, for example because
 	// the connection broke.
 	ServerLost = Code{3001, "server-lost", 502, RanMaybe, RetryIfIdempotent}
@@ -127,7 +130,7 @@
 		OK, Malformed, Unauthenticated, RankNotAllowed, UnknownModel, UnknownService,
 		BodyTooLarge, KeyRequired, KeyMalformed, KeyExpired, KeyReused, HeadTooLarge, RateLimited, TooManyInProgress,
 		QueueFull, DeadlineUnreachable, NoServer, Leaving, LogUnavailable, VersionNotLoaded,
-		NotReady, Preempted, CallerLeft, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
+		NotReady, Preempted, CallerLeft, ServersPaused, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
 		Quarantined, CrashedServers, Internal,
 	}
 }
--- a/roster/message.go
+++ b/roster/message.go
@@ -6,6 +6,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/availability"
 )
 
 // Message is a datagram between daemons. One of its fields is set.
@@ -45,6 +46,8 @@
 	WantLoad bool `cbor:"8,keyasint,omitempty"`
 	// Parts tells which parts of prompts may crash backend servers.
 	Parts *fuchsiarouter.PartReport `cbor:"10,keyasint,omitempty"`
+	// Leaving lists the backend servers that have said that they leave.
+	Leaving []availability.Server `cbor:"11,keyasint,omitempty"`
 }
 
 // Digest is what a relay tells the entries of its zone, or the relays of other zones.
@@ -78,8 +81,9 @@
 	Engines []EngineStatus         `cbor:"10,keyasint,omitempty"`
 	// Urgent makes the relay of another zone pass the content on at once.
 	Urgent bool `cbor:"11,keyasint,omitempty"`
-	// Parts is as in a Report, from all entries.
-	Parts *fuchsiarouter.PartReport `cbor:"15,keyasint,omitempty"`
+	// Parts and Leaving are as in a Report, from all entries.
+	Parts   *fuchsiarouter.PartReport `cbor:"15,keyasint,omitempty"`
+	Leaving []availability.Server     `cbor:"16,keyasint,omitempty"`
 }
 
 // ZoneEntries is the set of the live entries of an availability zone.
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -85,8 +85,11 @@
 // Reasons for refusing a request.
 const (
 	// NoServer means that no server of the service can run the request, even when idle:
-	// each one is draining, was replaced, has been tried or does not hold the model.
+	// each one is leaving, was replaced, has been tried or does not hold the model.
 	NoServer RefusalReason = "no-server"
+	// Paused means that each server that could run the request has asked for a pause, which ends
+	// too late for the request.
+	Paused RefusalReason = "servers-paused"
 	// Overloaded means that the request was not queued because it is expected to be still
 	// queued at its queue deadline.
 	Overloaded RefusalReason = "overloaded"
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -43,6 +43,7 @@
 	"sort"
 	"time"
 
+	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 )
 
@@ -151,6 +152,8 @@
 	// its ID.
 	services map[string]*service
 	servers  map[string]*server
+	// availability holds what servers have said about further requests.
+	availability *availability.Tracker
 	// requiredVersions holds, for each model, the lowest version on which a request may
 	// begin.
 	requiredVersions map[string]int
@@ -166,7 +169,7 @@
 // as if the entry were the only one of its zone. keyOf returns the key under which the
 // counts of the other entries list a server.
 func New(zone string, keyOf func(id string) uint32) *Scheduler {
-	return &Scheduler{zone: zone, keyOf: keyOf, services: map[string]*service{}, servers: map[string]*server{}, requiredVersions: map[string]int{}, entryCount: 1}
+	return &Scheduler{zone: zone, keyOf: keyOf, services: map[string]*service{}, servers: map[string]*server{}, availability: availability.New(), requiredVersions: map[string]int{}, entryCount: 1}
 }
 
 // SetEntries sets the index of this entry among the live entries of its availability zone
@@ -193,6 +196,9 @@
 	for id, existing := range s.servers {
 		updated := servers[id]
 		if updated == nil || !updated.IsSameIncarnation(existing.Server) {
+			if existing.Started == 0 {
+				s.availability.Forget(existing.identity())
+			}
 			delete(s.servers, id)
 		}
 	}
@@ -203,6 +209,7 @@
 			s.servers[id] = existing
 		}
 		existing.Server = updated
+		existing.availability = s.availability.Find(existing.identity())
 		svc := s.serviceFor(updated.Service)
 		svc.servers = append(svc.servers, existing)
 	}
@@ -310,9 +317,6 @@
 		}
 		return Decision{Server: selected.ID}
 	}
-	if !s.hasEligibleServer(now, svc, request) {
-		return Decision{Reason: NoServer, RetryAfter: svc.retryAfter(now, noServerRetryAfter)}
-	}
 	request.queuePriority = request.Rank
 	request.queueDeadline = rank.queueDeadline(request)
 	switch {
@@ -326,6 +330,9 @@
 	if latestDispatch := request.AbandonAt.Add(-rank.timeToFirstEvent); !request.AbandonAt.IsZero() && latestDispatch.Before(request.queueDeadline) {
 		request.queueDeadline = latestDispatch
 	}
+	if refusal, refused := s.refuseWithoutServer(now, svc, request); refused {
+		return refusal
+	}
 	wait := svc.expectedWait(now, request)
 	if now.Add(wait).After(request.queueDeadline) {
 		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, wait)}
@@ -382,6 +389,8 @@
 	// Cancelled means that the request ended for a reason that says nothing about the
 	// server, for example because the caller disconnected.
 	Cancelled
+	// AskedForPause means that the server has asked for a pause instead of running the request.
+	AskedForPause
 )
 
 // Release removes an in-flight request of this entry from the server with the given ID and
@@ -398,6 +407,7 @@
 		switch outcome {
 		case Completed:
 			server.consecutiveFailures, server.consecutiveStalls = 0, 0
+			server.availability.RecordCompleted(now)
 		case Refused, Failed:
 			ejection := min(baseEjection<<min(server.consecutiveFailures, 4), maxEjection)
 			server.suspendedUntil = now.Add(ejection)
@@ -469,7 +479,7 @@
 		}
 		selected := s.selectServer(now, svc, request)
 		if selected == nil {
-			if svc.allSlotsInUse() {
+			if svc.allSlotsInUse(now) {
 				return
 			}
 			skipped[request] = true
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -62,7 +62,7 @@
 	}
 	local, remote := 0, 0
 	for _, server := range svc.servers {
-		if server.preferred || server.Draining || now.Before(server.suspendedUntil) {
+		if server.preferred || server.isLeaving() || server.availability.IsPaused(now) || now.Before(server.suspendedUntil) {
 			continue
 		}
 		free := max(server.Slots-server.inFlight(), 0)
@@ -81,8 +81,9 @@
 }
 
 // selectServer returns a server with free capacity for the request, or nil if there is
-// none. It leaves out servers that are suspended, that have a request in flight after a
-// stall, or whose next load of weights the request would delay.
+// none. It leaves out servers that are suspended, that have asked for a pause or have as many
+// requests in flight as they may after it, that have a request in flight after a stall, or whose
+// next load of weights the request would delay.
 //
 // Of the preferred servers, it takes the one with the lowest utilization. Of the others, it
 // draws two of the own zone and two of other zones at random: their counts are old, and
@@ -101,7 +102,7 @@
 		if !candidate.isEligible(now, request, version) || now.Before(candidate.suspendedUntil) {
 			continue
 		}
-		if candidate.consecutiveStalls > 0 && candidate.localRequests > 0 || candidate.wouldDelayLoad(now, request, svc) {
+		if !candidate.availability.Takes(now, candidate.localRequests) || candidate.consecutiveStalls > 0 && candidate.localRequests > 0 || candidate.wouldDelayLoad(now, request, svc) {
 			continue
 		}
 		hasPreferred = hasPreferred || candidate.preferred
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 )
 
@@ -29,6 +30,8 @@
 	// suspendedUntil is the end of the last ejection or stall suspension. Until then the
 	// server gets no requests.
 	suspendedUntil time.Time
+	// availability is what the server has said about further requests, nil if nothing.
+	availability *availability.State
 	// replaced is set when another incarnation has answered at the server's address.
 	replaced bool
 	// loaderVersions, loadingWeights and nextLoadAt are the state that the loader on the
@@ -41,10 +44,15 @@
 }
 
 // isEligible reports whether the server may run the request, regardless of its load: it
-// is not draining or replaced, the request was not sent to it before, and it holds at
+// is not leaving or replaced, the request was not sent to it before, and it holds at
 // least the given version of the request's model, if the request has one.
 func (s *server) isEligible(now time.Time, request *Request, version int) bool {
-	if s.Draining || s.replaced || slices.Contains(request.TriedServers, s.ID) {
+	return s.canRun(now, request, version) && !slices.Contains(request.TriedServers, s.ID)
+}
+
+// canRun is isEligible for a server that the request may have been sent to before.
+func (s *server) canRun(now time.Time, request *Request, version int) bool {
+	if s.isLeaving() || s.replaced {
 		return false
 	}
 	if request.Model == "" {
@@ -54,6 +62,15 @@
 	return held > 0 && held >= version
 }
 
+// isLeaving reports whether the server must get no new requests, according to its registration or
+// to what it has said itself.
+func (s *server) isLeaving() bool { return s.Draining || s.availability.IsLeaving() }
+
+// identity returns the identity of the server's incarnation.
+func (s *server) identity() availability.Server {
+	return availability.Server{ID: s.ID, Address: s.Address, Started: s.Started}
+}
+
 // wouldDelayLoad reports whether the server is about to load weights and the request
 // would still be running by then: the server would take no new requests while it waits
 // for this one. Requests of the most urgent rank are short and may be sent there anyway,
--- a/schedule/service.go
+++ b/schedule/service.go
@@ -137,10 +137,10 @@
 	return false
 }
 
-// allSlotsInUse reports whether all slots of all servers that are not draining are in use.
-func (s *service) allSlotsInUse() bool {
+// allSlotsInUse reports whether all slots of all servers are in use that take requests.
+func (s *service) allSlotsInUse(now time.Time) bool {
 	for _, candidate := range s.servers {
-		if !candidate.Draining && candidate.inFlight() < max(candidate.Slots, 1) {
+		if !candidate.isLeaving() && !candidate.availability.IsPaused(now) && candidate.inFlight() < max(candidate.Slots, 1) {
 			return false
 		}
 	}
--- a/standin/backendserver/backendserver.go
+++ b/standin/backendserver/backendserver.go
@@ -31,6 +31,10 @@
 	// RefuseRequests responds with status 503 and the header X-Not-Executed, which says that
 	// the request did not run.
 	RefuseRequests bool
+	// RetryAfter is the value of the header Retry-After of refusals, empty for none.
+	RetryAfter string
+	// Leaving says in every response, with the header Server-Leaving, that the server leaves.
+	Leaving bool
 	// DropResponse runs the request but closes the connection without a response.
 	DropResponse bool
 	// Status is the HTTP status of plain responses; 0 means 200.
@@ -52,6 +56,14 @@
 	Headers string
 }
 
+// Arrival is a request that reached the server, whether it ran or not.
+type Arrival struct {
+	RequestID string
+	At        time.Time
+	// Behaviour is the one that applied to the request.
+	Behaviour Behaviour
+}
+
 // Server is a running stand-in of a backend server.
 type Server struct {
 	// ID is the value of the header X-Target-Instance in requests for this server. The
@@ -63,6 +75,7 @@
 	mu        sync.Mutex
 	behaviour Behaviour
 	runs      []Run
+	arrivals  []Arrival
 	// active is the number of requests in progress.
 	active int
 }
@@ -107,6 +120,13 @@
 	return append([]Run(nil), s.runs...)
 }
 
+// Arrivals returns every request that reached the server, in order.
+func (s *Server) Arrivals() []Arrival {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]Arrival(nil), s.arrivals...)
+}
+
 // ActiveRequests returns the number of requests in progress.
 func (s *Server) ActiveRequests() int {
 	s.mu.Lock()
@@ -124,13 +144,20 @@
 	ctx.Response.Header.Set("X-Attempt-Id", id)
 	s.mu.Lock()
 	behaviour := s.behaviour
+	s.arrivals = append(s.arrivals, Arrival{id, time.Now(), behaviour})
 	s.mu.Unlock()
+	if behaviour.Leaving {
+		ctx.Response.Header.Set("Server-Leaving", "1")
+	}
 	if string(header.Peek("X-Target-Instance")) != s.ID {
 		ctx.SetStatusCode(fasthttp.StatusMisdirectedRequest)
 		return
 	}
 	if behaviour.RefuseRequests {
 		ctx.Response.Header.Set("X-Not-Executed", "1")
+		if behaviour.RetryAfter != "" {
+			ctx.Response.Header.Set(fasthttp.HeaderRetryAfter, behaviour.RetryAfter)
+		}
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
 	}
