soak: servers that leave or ask for pauses

Cause: both rules must hold beside all other faults. Change: a second, separate draw of faults, so that the seeds keep their schedules, with servers that leave without a change of their registration and servers that ask for pauses. What reaches each server is held against what it told the entry, unless that one was signalled or started meanwhile.

--- a/standin/soak/caller.go
+++ b/standin/soak/caller.go
@@ -22,7 +22,10 @@
 	path      string
 	// keyIndex is the index of the API key, which also determines the workspace.
 	keyIndex int
-	sentAt   time.Time
+	// entry is the one that the request was sent to.
+	entry   *entry
+	sentAt  time.Time
+	endedAt time.Time
 	// status and body are those of the response. The status is 0 if there was none.
 	status int
 	body   string
@@ -58,7 +61,9 @@
 			requestID: fmt.Sprintf("c%d-%d", c.index, len(c.requests)),
 			path:      []string{"/book/", "/stock/", "/llm/stream"}[c.rng.IntN(3)], keyIndex: c.rng.IntN(keyCount),
 		}
-		c.send(&request, c.fleet.entries[c.rng.IntN(len(c.fleet.entries))].callerAddress)
+		request.entry = c.fleet.entries[c.rng.IntN(len(c.fleet.entries))]
+		c.send(&request, request.entry.callerAddress)
+		request.endedAt = time.Now()
 		c.requests = append(c.requests, request)
 		sleep(ctx, time.Duration(c.rng.IntN(40))*time.Millisecond)
 	}
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -31,7 +31,7 @@
 			violations = append(violations, fmt.Sprintf("%s %s: %s (status %d)", request.requestID, request.path, violation, request.status))
 		}
 	}
-	return violations
+	return append(violations, f.findAvailabilityViolations(requests)...)
 }
 
 // findViolation returns a description of the invariant that a request violates, given its
--- a/standin/soak/entry.go
+++ b/standin/soak/entry.go
@@ -34,6 +34,8 @@
 	readinessAddress string
 	// storeLink is the proxy in front of the store.
 	storeLink *link.Link
+	// disturbances are the starts of the entry and the signals to it.
+	disturbances disturbances
 
 	mu sync.Mutex
 	// process is nil while no process is running.
@@ -90,6 +92,7 @@
 // start starts the entry's process unless it is already running. It does not wait until the
 // entry is serving.
 func (e *entry) start() error {
+	e.disturbances.record()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.process != nil {
@@ -122,6 +125,7 @@
 // sendSignal sends a signal to the process if it is running. The returned channel is closed
 // when the process has exited. It is nil if no process was ever started.
 func (e *entry) sendSignal(signal syscall.Signal) <-chan struct{} {
+	e.disturbances.record()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if e.process != nil {
--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -41,7 +41,7 @@
 	for at := randomDuration(rng, minFaultInterval, maxFaultInterval); at < settings.FaultWindow; at += randomDuration(rng, minFaultInterval, maxFaultInterval) {
 		faults = append(faults, fault{startAfter: at, inject: drawFault(rng, settings)})
 	}
-	return faults
+	return append(faults, drawAvailabilityFaults(rng, settings)...)
 }
 
 // randomDuration returns a random duration of at least low and less than high.
@@ -97,7 +97,10 @@
 			f.store.Compact(keyedstore.TopicServers)
 		},
 		func(ctx context.Context, f *fleet) {
-			holdLinkState(ctx, duration, f.serverAt(service, serverIndex).link, linkState)
+			faulty := f.serverAt(service, serverIndex)
+			faulty.disturbances.record()
+			holdLinkState(ctx, duration, faulty.link, linkState)
+			faulty.disturbances.record()
 		},
 		func(ctx context.Context, f *fleet) {
 			failing := f.serverAt(service, serverIndex)
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -70,8 +70,9 @@
 type server struct {
 	*backendserver.Server
 	service string
-	// link is the proxy in front of the server.
-	link *link.Link
+	// link is the proxy in front of the server, whose faults are recorded in disturbances.
+	link         *link.Link
+	disturbances disturbances
 	// registration returns the value that registers the server in the store, with the
 	// address of the proxy. The state is "ready" or "draining".
 	registration func(state string) string
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -8,17 +8,20 @@
 //
 // The seed determines the whole fault schedule: entry processes are killed, stopped
 // gracefully and paused, proxied connections are cut or stalled, the store is down or
-// drops older records, servers fail, drain and are replaced, and API keys are revoked.
+// drops older records, servers fail, drain, leave, ask for pauses and are replaced, and API
+// keys are revoked.
 // Faults follow each other closely and overlap. Callers keep their connections open
 // between requests, until the entry process exits.
 //
 // Invariants: a non-repeatable request runs at most once, a refused request never runs, a
 // response is complete and belongs to the request of its caller, and a revoked API key
-// runs no requests once revocationBound has passed. Within recoveryTimeout after the last
+// runs no requests once revocationBound has passed, and a server that has told an entry that
+// it leaves, or has asked it for a pause, gets no more requests of it. Within recoveryTimeout after the last
 // fault, every entry serves requests again.
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -96,6 +99,7 @@
 	}
 	began := time.Now()
 	var injecting sync.WaitGroup
+	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.startAfter, b.startAfter) })
 	for _, scheduled := range faults {
 		if !sleep(ctx, time.Until(began.Add(scheduled.startAfter))) {
 			break
