platformtest: run the cases of scripted servers in parallel

Change: each case, which has its own entry, store and servers, runs in parallel with the others. No check is changed.

--- a/standin/platformtest/faulty_server_test.go
+++ b/standin/platformtest/faulty_server_test.go
@@ -49,6 +49,7 @@
 		{"not found without ID, in place of the answer", notFound, false, inPlaceOfAnswer},
 	} {
 		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
 			g := gomega.NewWithT(t)
 			f := startFleet(t)
 			f.removeServers(f.plainServers)
@@ -106,6 +107,7 @@
 			"307 Temporary Redirect", "200 OK\r\nContent-Type: application/json",
 		} {
 			t.Run(framing+", "+strings.Replace(start, "\r\n", " ", 1), func(t *testing.T) {
+				t.Parallel()
 				g := gomega.NewWithT(t)
 				f := startFleet(t)
 				f.removeServers(f.llmServers)
@@ -159,6 +161,7 @@
 	for _, route := range []struct{ path, service string }{{"/stock/x", "plain"}, {"/book/x", "plain"}, {"/llm/x", "llm"}, {"/once/x", "llm"}} {
 		for _, framing := range framings {
 			t.Run(route.path+", "+framing, func(t *testing.T) {
+				t.Parallel()
 				g := gomega.NewWithT(t)
 				f := startFleet(t)
 				f.removeServers(f.plainServers)
@@ -185,6 +188,7 @@
 	lost, resumed := whole[:len(whole)-len("id: 3\ndata: 3\n\n")], "id: 3\ndata: 3\n\n"
 	for _, lineEnd := range []string{"\n", "\r\n", "\r"} {
 		t.Run(strconv.Quote(lineEnd), func(t *testing.T) {
+			t.Parallel()
 			g := gomega.NewWithT(t)
 			f := startFleet(t)
 			f.removeServers(f.llmServers)
--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -128,6 +128,7 @@
 			"before the end of line": streamBody(1, 2) + "id: 3\ndata: 3\n",
 		} {
 			t.Run(framing+", "+name, func(t *testing.T) {
+				t.Parallel()
 				g := gomega.NewWithT(t)
 				f := startFleet(t)
 				f.removeServers(f.llmServers)
@@ -152,6 +153,7 @@
 func TestStreamEndingInsideEventResumes(t *testing.T) {
 	for _, framing := range framings {
 		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
 			g := gomega.NewWithT(t)
 			f := startFleet(t)
 			f.removeServers(f.llmServers)
@@ -183,6 +185,7 @@
 			{"failure", "400 Bad Request", `{"error":"no such model"}`, http.StatusBadRequest},
 		} {
 			t.Run(framing+", "+example.name, func(t *testing.T) {
+				t.Parallel()
 				g := gomega.NewWithT(t)
 				f := startFleet(t)
 				f.removeServers(f.llmServers)
@@ -202,6 +205,7 @@
 func TestResumedStreamWithoutFurtherEvents(t *testing.T) {
 	for _, framing := range framings {
 		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
 			g := gomega.NewWithT(t)
 			f := startFleet(t)
 			f.removeServers(f.llmServers)
@@ -226,6 +230,7 @@
 func TestStreamEndingBeforeFirstEvent(t *testing.T) {
 	for _, start := range []string{"200 OK", "200 OK\r\nContent-Type: text/event-stream"} {
 		t.Run(strings.Replace(start, "\r\n", " ", 1), func(t *testing.T) {
+			t.Parallel()
 			g := gomega.NewWithT(t)
 			f := startFleet(t)
 			f.removeServers(f.llmServers)
@@ -256,6 +261,7 @@
 func TestResumedStreamEndingBeforeNextEvent(t *testing.T) {
 	for _, framing := range framings {
 		t.Run(framing, func(t *testing.T) {
+			t.Parallel()
 			g := gomega.NewWithT(t)
 			f := startFleet(t)
 			f.removeServers(f.llmServers)
