--- a/schedule/fleet_test.go
+++ b/schedule/fleet_test.go
@@ -367,8 +367,7 @@
 	}
 }
 
-// TestFewEntriesServeInTimeFirst guards against responses to returning callers, which are late,
-// while requests that could be in time are refused, in a zone of few entries.
+// TestFewEntriesServeInTimeFirst guards against late responses in place of those in time.
 func TestFewEntriesServeInTimeFirst(t *testing.T) {
 	for _, requestsPerSecond := range []float64{85, 120} {
 		var late, served [3]int
