platformtest: give each store an address that is used once

Cause: the ingresses of earlier tests run on and read from the addresses of their stores, which are closed. The kernel gave such a port to the store of a later test. The earlier ingress found the ingress of that test there, joined it as an entry of its zone and passed it the registrations of its own store: the log of a failed run shows 'entry heard' and two refused connections to ports of an earlier test. Change: keyedstore.New takes the address. The tests give it one of their own, as they do for scripted servers.

--- a/standin/keyedstore/keyedstore.go
+++ b/standin/keyedstore/keyedstore.go
@@ -46,9 +46,10 @@
 // record is a keyed record. An empty value deletes the key.
 type record struct{ key, value string }
 
-// New starts a store on a free port of the loopback interface.
-func New() (*Store, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+// New starts a store that listens on the address. An ingress that runs longer than the store goes
+// on reading from the address, so no other store may use it afterwards.
+func New(address string) (*Store, error) {
+	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -82,7 +82,7 @@
 // ingress is ready. The configuration has version 1 and the API keys k1 and k2.
 func startFleet(t *testing.T) *testFleet {
 	g := gomega.NewWithT(t)
-	store, err := keyedstore.New()
+	store, err := keyedstore.New(allocateAddress())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	f := &testFleet{t: t, store: store, callerAddress: allocateAddress(), readinessAddress: allocateAddress(), client: &http.Client{Timeout: waitTimeout}}
 	f.publishConfiguration(1, "k1", "k2")
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -81,7 +81,7 @@
 // newFleet starts the store, the backend servers and the entries, and publishes the
 // configuration. It does not wait until the entries are serving.
 func newFleet(settings Settings) (*fleet, error) {
-	store, err := keyedstore.New()
+	store, err := keyedstore.New("127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
 	}
