availability: report a few leaving servers a message, and all over time

Cause: each message between entries repeated the 32 servers that were marked as leaving last. Change: a message has the servers that were marked in the last two seconds, 32 at most, and four of the others at random.

--- a/availability/availability_test.go
+++ b/availability/availability_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/onsi/gomega"
 	"pgregory.net/rapid"
 
@@ -117,12 +118,44 @@
 	for number := range servers {
 		tracker.MarkLeaving(start, availability.Server{ID: fmt.Sprint(number)})
 	}
-	leaving := tracker.Leaving(servers, func(availability.Server) bool { return true })
-	g.Expect(len(leaving)).To(gomega.BeNumerically("<", servers/2))
-	g.Expect(leaving[0].ID).To(gomega.Equal(fmt.Sprint(servers - 1)))
+	remembered := 0
+	for number := range servers {
+		if tracker.Find(availability.Server{ID: fmt.Sprint(number)}) != nil {
+			remembered++
+		}
+	}
+	g.Expect(remembered).To(gomega.BeNumerically("<", servers/2))
+	g.Expect(tracker.Find(availability.Server{ID: fmt.Sprint(servers - 1)}).IsLeaving()).To(gomega.BeTrue())
 	g.Expect(tracker.Find(availability.Server{ID: "0"})).To(gomega.BeNil())
 }
 
+// TestReportsStaySmall guards against messages that repeat all leaving servers each time, and
+// against leaving servers of which a daemon that starts later is never told.
+func TestReportsStaySmall(t *testing.T) {
+	g := gomega.NewWithT(t)
+	tracker := availability.New()
+	const servers, perSecond = 100, 7
+	for number := range servers {
+		tracker.MarkLeaving(start, availability.Server{ID: fmt.Sprintf("i-%010x", number), Address: fmt.Sprintf("10.0.0.%d:8486", number), Started: start.UnixMilli()})
+	}
+	all := func(availability.Server) bool { return true }
+	g.Expect(tracker.Report(start, all)).To(gomega.HaveLen(availability.MaxReported))
+	later, told, size := start.Add(time.Minute), map[availability.Server]bool{}, 0
+	for range 60 * perSecond {
+		report := tracker.Report(later, all)
+		encoded, err := cbor.Marshal(report)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		size += len(encoded)
+		for _, server := range report {
+			told[server] = true
+		}
+	}
+	g.Expect(told).To(gomega.HaveLen(servers))
+	// Two entries are sent reports, and all control traffic of a daemon may have 10 KB/s.
+	g.Expect(2 * size / 60).To(gomega.BeNumerically("<", 10_000/3))
+	t.Logf("%d bytes per second", 2*size/60)
+}
+
 // BenchmarkTakes measures the check of one candidate for one request.
 func BenchmarkTakes(b *testing.B) {
 	for _, servers := range []int{15, 271, 10_000} {
--- a/availability/state.go
+++ b/availability/state.go
@@ -37,6 +37,8 @@
 // nothing.
 type State struct {
 	leaving bool
+	// leavingSince is the time at which it was marked as leaving.
+	leavingSince time.Time
 	// pausedUntil is the end of the last pause, and allowance the number of requests that may be in
 	// flight after it, 0 without a limit.
 	pausedUntil time.Time
--- a/availability/tracker.go
+++ b/availability/tracker.go
@@ -2,13 +2,24 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// maxStates bounds the incarnations that a Tracker remembers. The oldest one is dropped for a new
-// one.
-const maxStates = 4096
+const (
+	// maxStates bounds the incarnations that a Tracker remembers. The oldest one is dropped for a
+	// new one.
+	maxStates = 4096
+	// reportEachFor is the time after a server was marked as leaving for which each report has it.
+	reportEachFor = 2 * time.Second
+	// maxNewReported bounds the servers in a report for that reason, and repeatedPerReport those
+	// that were marked earlier, which a daemon that started or was cut off since does not know.
+	maxNewReported    = 32
+	repeatedPerReport = 4
+	// MaxReported bounds the servers in a report.
+	MaxReported = maxNewReported + repeatedPerReport
+)
 
 // Server identifies an incarnation of a backend server.
 type Server struct {
@@ -35,8 +46,9 @@
 // MarkLeaving records that a server leaves, and reports whether that was not known.
 func (t *Tracker) MarkLeaving(now time.Time, server Server) (state *State, added bool) {
 	state = t.mark(now, server)
-	added = !state.leaving
-	state.leaving = true
+	if added = !state.leaving; added {
+		state.leaving, state.leavingSince = true, now
+	}
 	return state, added
 }
 
@@ -51,17 +63,26 @@
 // Forget drops the state of a server whose incarnations can't be told apart.
 func (t *Tracker) Forget(server Server) { delete(t.states, server) }
 
-// Leaving returns the servers that leave, those that were marked last first, limit at most. It
-// leaves out those for which the function include returns false.
-func (t *Tracker) Leaving(limit int, include func(Server) bool) []Server {
-	var leaving []Server
+// Report returns what to tell another daemon in a periodic message: the servers that were marked as
+// leaving a short time ago, the newest first, and a few of the others at random, so that all of them
+// are repeated over time. It leaves out those for which the function include returns false.
+func (t *Tracker) Report(now time.Time, include func(Server) bool) []Server {
+	var added, earlier []Server
 	for server, state := range t.states {
-		if state.leaving && include(server) {
-			leaving = append(leaving, server)
+		switch {
+		case !state.leaving || !include(server):
+		case now.Sub(state.leavingSince) < reportEachFor:
+			added = append(added, server)
+		default:
+			earlier = append(earlier, server)
 		}
 	}
-	slices.SortFunc(leaving, func(a, b Server) int { return cmp.Compare(t.states[b].markedAt, t.states[a].markedAt) })
-	return leaving[:min(limit, len(leaving))]
+	slices.SortFunc(added, func(a, b Server) int { return cmp.Compare(t.states[b].markedAt, t.states[a].markedAt) })
+	if len(added) > maxNewReported {
+		added, earlier = added[:maxNewReported], append(earlier, added[maxNewReported:]...)
+	}
+	rand.Shuffle(len(earlier), func(i, j int) { earlier[i], earlier[j] = earlier[j], earlier[i] })
+	return append(added, earlier[:min(repeatedPerReport, len(earlier))]...)
 }
 
 // mark returns the state of a server as the youngest one, and creates it on first use.
--- a/ingress/availability.go
+++ b/ingress/availability.go
@@ -10,9 +10,6 @@
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 )
 
-// maxLeavingPerMessage bounds the leaving servers in one status message.
-const maxLeavingPerMessage = 32
-
 // incarnation returns the identity of a server's incarnation.
 func incarnation(server *catalog.Server) availability.Server {
 	return availability.Server{ID: server.ID, Address: server.Address, Started: server.Started}
@@ -58,7 +55,7 @@
 // it is new. The caller holds the lock.
 func (i *Ingress) mergeLeaving(now time.Time, servers []availability.Server, source string) bool {
 	changed := false
-	for _, server := range servers[:min(len(servers), maxLeavingPerMessage)] {
+	for _, server := range servers[:min(len(servers), availability.MaxReported)] {
 		if server.ID != "" && i.scheduler.MarkLeaving(now, server) {
 			changed = true
 			i.log.Info("server leaves", zap.String("server", server.ID), zap.Int64("started", server.Started), zap.String("source", source))
--- a/ingress/status.go
+++ b/ingress/status.go
@@ -97,7 +97,7 @@
 	}
 	report := i.roster.NewReport(now)
 	report.Strikes, report.Stalled, report.Urgent = i.strikes.Strikes(now, maxStrikesPerMessage), stalled, urgent
-	report.Parts, report.Leaving = i.partReport(now), i.scheduler.Leaving(maxLeavingPerMessage)
+	report.Parts, report.Leaving = i.partReport(now), i.scheduler.LeavingReport(now)
 	i.mu.Unlock()
 	if len(others) > 0 {
 		i.sendMessage(&roster.Message{Report: &report}, others...)
@@ -127,7 +127,7 @@
 	i.mu.Lock()
 	digest := i.roster.ZoneDigest(now, listed)
 	digest.Strikes, digest.Stalled, digest.Urgent = i.strikes.Strikes(now, maxStrikesPerMessage), stalled, urgent
-	digest.Parts, digest.Leaving = i.partReport(now), i.scheduler.Leaving(maxLeavingPerMessage)
+	digest.Parts, digest.Leaving = i.partReport(now), i.scheduler.LeavingReport(now)
 	i.mu.Unlock()
 	i.sendMessage(&roster.Message{Digest: &digest}, targets...)
 }
@@ -138,7 +138,7 @@
 	i.mu.Lock()
 	digest := i.roster.DigestFor(now, address, report.Members, report.Wanted, report.WantLoad)
 	digest.Strikes, digest.Stalled = i.strikes.Strikes(now, maxStrikesPerMessage), stalled
-	digest.Parts, digest.Leaving = i.partReport(now), i.scheduler.Leaving(maxLeavingPerMessage)
+	digest.Parts, digest.Leaving = i.partReport(now), i.scheduler.LeavingReport(now)
 	i.mu.Unlock()
 	i.sendMessage(&roster.Message{Digest: &digest}, address)
 }
--- a/schedule/availability.go
+++ b/schedule/availability.go
@@ -27,9 +27,10 @@
 	s.applyAvailability(now, id, s.availability.Pause(now, id, duration))
 }
 
-// Leaving returns the registered servers that have said that they leave, limit at most.
-func (s *Scheduler) Leaving(limit int) []availability.Server {
-	return s.availability.Leaving(limit, func(id availability.Server) bool {
+// LeavingReport returns the registered servers that have said that they leave, as far as a message
+// to another entry has them.
+func (s *Scheduler) LeavingReport(now time.Time) []availability.Server {
+	return s.availability.Report(now, func(id availability.Server) bool {
 		server := s.servers[id.ID]
 		return server != nil && server.identity() == id
 	})
--- a/schedule/availability_test.go
+++ b/schedule/availability_test.go
@@ -25,7 +25,7 @@
 	for range 3 {
 		g.Expect(s.Submit(start, newRequest(1, start)).Server).NotTo(gomega.Equal("a"))
 	}
-	g.Expect(s.Leaving(10)).To(gomega.ConsistOf(identity("a")))
+	g.Expect(s.LeavingReport(start)).To(gomega.ConsistOf(identity("a")))
 	queued := newRequest(1, start)
 	var refusal schedule.Decision
 	queued.OnDecision = func(decision schedule.Decision) { refusal = decision }
