loader: tell the entries that its engine leaves

Cause: an engine says that it leaves in the answers to its loader too, and the loader did not read it. While the registry is down, an entry learned it only from an answer to a request that the engine should not have got any more. An entry marks the incarnation with this address and start as leaving and tells the others.

--- a/ingress/availability.go
+++ b/ingress/availability.go
@@ -64,6 +64,24 @@
 	return changed
 }
 
+// receiveLeavingEngine applies what the loader of an engine, of which it knows no ID, reports, and
+// tells the other entries.
+func (i *Ingress) receiveLeavingEngine(now time.Time, engine availability.Server) {
+	for _, server := range i.mirror.View().Servers {
+		if server.Address != engine.Address || server.Started != engine.Started {
+			continue
+		}
+		i.mu.Lock()
+		added := i.scheduler.MarkLeaving(now, incarnation(server))
+		i.mu.Unlock()
+		if added {
+			i.metrics.serversLeaving.Inc(1)
+			i.log.Info("server leaves", zap.String("server", server.ID), zap.Int64("started", server.Started), zap.String("source", "loader"))
+			i.reportUrgently(now, nil)
+		}
+	}
+}
+
 // stillTakes reports whether a selected server may still be sent a request.
 func (i *Ingress) stillTakes(server *catalog.Server) bool {
 	i.mu.Lock()
--- a/ingress/status.go
+++ b/ingress/status.go
@@ -220,6 +220,8 @@
 			i.roster.RecordEngine(now, *message.Engine)
 			i.applyEngines(now, []roster.EngineStatus{*message.Engine})
 			i.mu.Unlock()
+		case message.LeavingEngine != nil:
+			i.receiveLeavingEngine(now, *message.LeavingEngine)
 		case message.Report != nil:
 			i.receiveReport(now, message.Report)
 		case message.Digest != nil:
--- a/loader/announce.go
+++ b/loader/announce.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/roster"
 )
 
@@ -62,7 +63,7 @@
 const maxAnnouncedEntries = 12
 
 // announce sends the engine's versions, whether it is loading, and the time until its next
-// load to some entries in UDP datagrams. The entries thus know a change before the engine's
+// load to some entries in UDP datagrams, and that the engine leaves if it says so. The entries thus know a change before the engine's
 // own record in the platform's registry shows it.
 func (l *Loader) announce() {
 	l.mu.Lock()
@@ -76,8 +77,20 @@
 	if untilLoad := time.Until(l.expectedLoadAt); untilLoad > 0 {
 		message.Engine.LoadsInMilliseconds = untilLoad.Milliseconds()
 	}
+	messages := []roster.Message{message}
+	if l.leavingStart != nil {
+		engine := availability.Server{Address: l.settings.EngineAddress, Started: *l.leavingStart}
+		messages = append(messages, roster.Message{LeavingEngine: &engine})
+	}
 	entries := l.nextAnnounced()
 	l.mu.Unlock()
+	for _, message := range messages {
+		l.sendToEntries(&message, entries)
+	}
+}
+
+// sendToEntries sends a message to entries.
+func (l *Loader) sendToEntries(message *roster.Message, entries []roster.Entry) {
 	body, err := message.Encode()
 	if err != nil {
 		l.log.Error("announcement not encoded", zap.String("cause", err.Error()))
--- a/loader/converge.go
+++ b/loader/converge.go
@@ -210,10 +210,18 @@
 	previous := l.engineStates[model]
 	current := engineState{version: report.LoadedVersions[model], loading: report.Busy}
 	l.engineStates[model] = current
-	if previous != current {
+	leaves := report.Leaving && (l.leavingStart == nil || *l.leavingStart != report.StartedAt)
+	if leaves {
+		l.leavingStart = &report.StartedAt
+	}
+	if previous != current || leaves {
 		l.changedAt = time.Now()
 	}
 	l.mu.Unlock()
+	if leaves {
+		l.log.Info("engine leaves", zap.Int64("born", report.StartedAt))
+		l.announce()
+	}
 	if previous != current {
 		l.log.Info("engine state", zap.String("model", model), zap.Int("version", current.version),
 			zap.Bool("loading", current.loading), zap.Int64("orders", report.AcceptedOrders), zap.Int64("born", report.StartedAt))
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -114,6 +114,9 @@
 	// announced repeatedly for announceDuration after it.
 	engineStates map[string]engineState
 	changedAt    time.Time
+	// leavingStart is the start, in Unix ms, of the incarnation of the engine that has said last
+	// that it leaves, nil if none has.
+	leavingStart *int64
 	// engineLost is set while the engine does not answer. Only converge uses it.
 	engineLost bool
 	// expectedLoadAt is when the next load order is expected to be sent; no load is
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -16,8 +16,10 @@
 	"go.uber.org/zap"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 	"github.com/fuchsiarouter/fuchsiarouter/loader"
+	"github.com/fuchsiarouter/fuchsiarouter/roster"
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
 
@@ -50,6 +52,8 @@
 	silentUntil time.Time
 	// serversDelay is how long each read of the list of servers takes.
 	serversDelay time.Duration
+	// entryAddress is the peer address of the only entry, empty if there is none.
+	entryAddress string
 }
 
 func newFakeFleet(t *testing.T) *fakeFleet {
@@ -101,6 +105,14 @@
 	switch topic {
 	case fuchsiarouter.TopicOperator:
 		batch.Records = []fuchsiarouter.KeyedRecord{{Key: "config", Value: []byte("1")}, {Key: model, Value: []byte(strconv.Itoa(f.version))}}
+	case fuchsiarouter.TopicEntries:
+		if f.entryAddress != "" {
+			value, err := json.Marshal(roster.Entry{Name: "e", PeerAddress: f.entryAddress, AvailabilityZone: "a"})
+			if err != nil {
+				return batch, err
+			}
+			batch.Records = []fuchsiarouter.KeyedRecord{{Key: "e", Value: value}}
+		}
 	case fuchsiarouter.TopicServers:
 		for id, server := range f.servers {
 			value, err := json.Marshal(server)
@@ -186,6 +198,7 @@
 	staged map[int][]byte
 	// version is the loaded version, 0 if there is none.
 	version        int
+	leaving        bool
 	acceptedOrders int64
 	// corruptLoads counts the corrupt or missing pieces of all loads.
 	corruptLoads int
@@ -200,7 +213,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	report := fuchsiarouter.EngineReport{AcceptedOrders: e.acceptedOrders, LoadedVersions: map[string]int{}}
+	report := fuchsiarouter.EngineReport{AcceptedOrders: e.acceptedOrders, LoadedVersions: map[string]int{}, StartedAt: 7, Leaving: e.leaving}
 	if e.version > 0 {
 		report.LoadedVersions[model] = e.version
 	}
@@ -396,3 +409,30 @@
 	g.Eventually(versions(crashed), testTimeout).Should(gomega.Equal([]int{1}))
 	g.Expect(f.originDownloads()).To(gomega.BeZero())
 }
+
+// TestLeavingEngineIsAnnounced guards against entries that learn too late, while the registry is
+// down, that an engine without requests leaves.
+func TestLeavingEngineIsAnnounced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFakeFleet(t)
+	entry, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = entry.Close() })
+	f.entryAddress = entry.LocalAddr().String()
+	engine := f.addEngine(t, 2, "a", true)
+	engine.mu.Lock()
+	engine.leaving = true
+	engine.mu.Unlock()
+	g.Expect(entry.SetReadDeadline(time.Now().Add(testTimeout))).To(gomega.Succeed())
+	buffer := make([]byte, 1<<10)
+	for {
+		n, _, err := entry.ReadFrom(buffer)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		message, err := roster.Decode(buffer[:n])
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		if message.LeavingEngine != nil {
+			g.Expect(*message.LeavingEngine).To(gomega.Equal(availability.Server{Address: "127.0.0.2:9", Started: 7}))
+			return
+		}
+	}
+}
--- a/roster/fuzz_test.go
+++ b/roster/fuzz_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/roster"
 )
 
@@ -18,6 +19,7 @@
 			Zones: []roster.ZoneEntries{{Zone: "y", Listed: true, Entries: []roster.Entry{entry}}},
 		}},
 		{Engine: &roster.EngineStatus{Address: "127.0.0.2:2", Versions: map[string]int{"m": 1}, LoadsInMilliseconds: 3}},
+		{LeavingEngine: &availability.Server{Address: "127.0.0.2:2", Started: 1}},
 	} {
 		encoded, err := message.Encode()
 		if err != nil {
@@ -37,7 +39,7 @@
 			r.ReceiveReport(now, message.Report)
 		case message.Digest != nil:
 			r.ReceiveDigest(now, message.Digest)
-		default:
+		case message.Engine != nil:
 			r.RecordEngine(now, *message.Engine)
 		}
 		report, digest := r.NewReport(now), r.DigestFor(now, "127.0.0.2:1", 0, []string{"y"}, true)
--- a/roster/message.go
+++ b/roster/message.go
@@ -18,6 +18,9 @@
 	Digest *Digest `cbor:"2,keyasint,omitempty"`
 	// Engine is the state of a model engine, sent by the loader on the same VM.
 	Engine *EngineStatus `cbor:"3,keyasint,omitempty"`
+	// LeavingEngine is an engine that has told the loader on its VM that it takes no further
+	// requests. The loader doesn't know its ID.
+	LeavingEngine *availability.Server `cbor:"4,keyasint,omitempty"`
 }
 
 // Report is the state that an entry sends to the relays of its availability zone.
@@ -154,6 +157,9 @@
 	if message.Engine != nil && message.Engine.Address != "" {
 		set++
 	}
+	if message.LeavingEngine != nil && message.LeavingEngine.Address != "" {
+		set++
+	}
 	if set != 1 {
 		return nil, errors.New("roster: message without a sender")
 	}
--- a/staged.go
+++ b/staged.go
@@ -34,6 +34,8 @@
 	// has accepted. The next order repeats it, so that the engine refuses an order that is
 	// based on an outdated report.
 	AcceptedOrders int64
+	// Leaving is set once the engine says that it takes no further requests.
+	Leaving bool
 	// Waiting is the number of requests that wait at the engine, Running the number that
 	// it runs.
 	Waiting int
--- a/standin/platformtest/deadly_part_test.go
+++ b/standin/platformtest/deadly_part_test.go
@@ -151,7 +151,7 @@
 	g := gomega.NewWithT(t)
 	f := startFleet(t)
 	second := allocateAddress()
-	f.newIngress("e2", second, allocateAddress())
+	f.newIngress("e2", second, allocateAddress(), allocateAddress())
 	f.removeServers(f.llmServers)
 	var crashes, deadlyRequests, soundRequests, served atomic.Int32
 	for index := range 6 {
--- a/standin/platformtest/leaving_test.go
+++ b/standin/platformtest/leaving_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -12,6 +13,8 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/fuchsiarouter/fuchsiarouter/availability"
+	"github.com/fuchsiarouter/fuchsiarouter/roster"
 	"github.com/fuchsiarouter/fuchsiarouter/standin/keyedstore"
 )
 
@@ -109,7 +112,7 @@
 	f.removeServers(f.plainServers)
 	leaving := f.newScriptedServer("s0", "plain", func(request *http.Request) string { return withHeader(whole(request), leavingHeader) })
 	other := allocateAddress()
-	f.newIngress("e2", other, allocateAddress())
+	f.newIngress("e2", other, allocateAddress(), allocateAddress())
 	awaitRegistrations()
 	status, _, _, err := f.send("POST", "/stock/x", "k1", "")
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -201,3 +204,35 @@
 	g.Expect(<-served).To(gomega.BeTrue())
 	g.Expect(server.runs.Load()).To(gomega.BeEquivalentTo(2))
 }
+
+// TestLoaderReportsLeavingEngine guards against requests to an engine that has told only the loader
+// on its VM that it leaves, and against taking the engine for an earlier incarnation.
+func TestLoaderReportsLeavingEngine(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	f.removeServers(f.llmServers)
+	engine := f.newScriptedServer("s0", "llm", whole)
+	awaitRegistrations()
+	report := func(started int64) {
+		message := roster.Message{LeavingEngine: &availability.Server{Address: engine.listener.Addr().String(), Started: started}}
+		encoded, err := message.Encode()
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		conn, err := net.Dial("udp4", f.peerAddress)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		defer conn.Close()
+		_, err = conn.Write(encoded)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	status := func() int {
+		status, _, _, err := f.send("POST", "/llm/x", "k1", "")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		return status
+	}
+	report(1)
+	g.Consistently(status, 500*time.Millisecond).Should(gomega.Equal(http.StatusOK))
+	report(0)
+	g.Eventually(status, waitTimeout).Should(gomega.Equal(http.StatusServiceUnavailable))
+	runs := engine.runs.Load()
+	g.Expect(status()).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(engine.runs.Load()).To(gomega.Equal(runs))
+}
--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -53,6 +53,7 @@
 	ingress          *ingress.Ingress
 	callerAddress    string
 	readinessAddress string
+	peerAddress      string
 	llmServers       []*backendserver.Server
 	plainServers     []*backendserver.Server
 	client           *http.Client
@@ -84,7 +85,8 @@
 	g := gomega.NewWithT(t)
 	store, err := keyedstore.New(allocateAddress())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	f := &testFleet{t: t, store: store, callerAddress: allocateAddress(), readinessAddress: allocateAddress(), client: &http.Client{Timeout: waitTimeout}}
+	f := &testFleet{t: t, store: store, callerAddress: allocateAddress(), readinessAddress: allocateAddress(),
+		peerAddress: allocateAddress(), client: &http.Client{Timeout: waitTimeout}}
 	f.publishConfiguration(1, "k1", "k2")
 	for i := range 2 {
 		llm, err := backendserver.New(fmt.Sprint("e", i), backendserver.Behaviour{StreamEvents: 5, EventInterval: 5 * time.Millisecond})
@@ -95,17 +97,17 @@
 		store.Put(keyedstore.TopicServers, llm.ID, llm.Registration("llm", "z", "ready", `{"name":"m","version":1}`))
 		store.Put(keyedstore.TopicServers, plain.ID, plain.Registration("plain", "z", "ready", ""))
 	}
-	f.ingress = f.newIngress("e", f.callerAddress, f.readinessAddress)
+	f.ingress = f.newIngress("e", f.callerAddress, f.readinessAddress, f.peerAddress)
 	t.Cleanup(store.Close)
 	g.Eventually(f.isReady, waitTimeout).Should(gomega.BeTrue())
 	return f
 }
 
-// newIngress starts an ingress with the name, which listens for callers and readiness checks at
-// the addresses.
-func (f *testFleet) newIngress(name, callerAddress, readinessAddress string) *ingress.Ingress {
+// newIngress starts an ingress with the name, which listens for callers, readiness checks and other
+// daemons at the addresses.
+func (f *testFleet) newIngress(name, callerAddress, readinessAddress, peerAddress string) *ingress.Ingress {
 	started, err := ingress.New(ingress.Settings{
-		Name: name, AvailabilityZone: "z", Region: "r", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, PeerAddress: allocateAddress(),
+		Name: name, AvailabilityZone: "z", Region: "r", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, PeerAddress: peerAddress,
 		KeyRevocation: 5 * time.Second, StopGrace: 3 * time.Second, VersionDeadline: 8 * time.Second,
 		DirectoryTTL: 5 * time.Second, ResendRatio: 0.2, ResendAllowance: 100, ResendWindow: 10 * time.Second,
 	}, platform.Dialect{}, platform.NewRegistry(f.store.Address()),
