platformtest: leaving servers beside a resumed stream and a restarted entry

Change: TestStreamIsNotResumedOnLeavingServer and TestRestartedEntryLearnsOfLeavingServer. With the header not read both fail, and with nothing told to other entries the second one does.

--- a/standin/platformtest/leaving_test.go
+++ b/standin/platformtest/leaving_test.go
@@ -236,3 +236,74 @@
 	g.Expect(status()).To(gomega.Equal(http.StatusServiceUnavailable))
 	g.Expect(engine.runs.Load()).To(gomega.Equal(runs))
 }
+
+// TestStreamIsNotResumedOnLeavingServer guards against resuming a stream on a server that has said
+// that it leaves since the stream began.
+func TestStreamIsNotResumedOnLeavingServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	f.removeServers(f.llmServers)
+	var streamServer atomic.Value
+	broken := make(chan struct{})
+	var resumedBy sync.Map
+	for _, name := range []string{"s0", "s1", "s2"} {
+		f.newScriptedServer(name, "llm", func(request *http.Request) string {
+			switch {
+			case request.Header.Get("Last-Event-Id") != "":
+				resumedBy.Store(name, true)
+				return frame(request, "chunked", "200 OK", streamBody(3, 5))
+			case streamServer.CompareAndSwap(nil, name):
+				<-broken
+				return strings.TrimSuffix(frame(request, "chunked", "200 OK", streamBody(1, 2)), "0\r\n\r\n") + closeMark
+			case name == "s0":
+				return whole(request)
+			}
+			return withHeader(whole(request), leavingHeader)
+		})
+	}
+	awaitRegistrations()
+	ended := make(chan string, 1)
+	go func() {
+		_, body, _, _ := f.send("POST", "/llm/stream", "k1", "")
+		ended <- body
+	}()
+	g.Eventually(streamServer.Load, waitTimeout).ShouldNot(gomega.BeNil())
+	for range 8 {
+		status, _, _, err := f.send("POST", "/llm/x", "k1", "")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusOK))
+	}
+	close(broken)
+	g.Expect(<-ended).To(gomega.HavePrefix(streamBody(1, 2)))
+	for _, name := range []string{"s1", "s2"} {
+		_, resumed := resumedBy.Load(name)
+		g.Expect(resumed).To(gomega.BeFalse(), name)
+	}
+}
+
+// TestRestartedEntryLearnsOfLeavingServer guards against requests of an entry, which was started
+// again, to a server that has told the entry that it leaves before.
+func TestRestartedEntryLearnsOfLeavingServer(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	f.removeServers(f.plainServers)
+	leaving := f.newScriptedServer("s0", "plain", func(request *http.Request) string { return withHeader(whole(request), leavingHeader) })
+	f.newIngress("e2", allocateAddress(), allocateAddress(), allocateAddress())
+	awaitRegistrations()
+	status, _, _, err := f.send("POST", "/stock/x", "k1", "")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(status).To(gomega.Equal(http.StatusOK))
+	f.newScriptedServer("s1", "plain", whole)
+	awaitRegistrations()
+	restarted := allocateAddress()
+	f.newIngress("e3", restarted, allocateAddress(), allocateAddress())
+	awaitRegistrations()
+	awaitRegistrations()
+	f.callerAddress = restarted
+	for range 8 {
+		status, body, _, err := f.send("POST", "/stock/x", "k1", "")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusOK), body)
+	}
+	g.Expect(leaving.runs.Load()).To(gomega.BeEquivalentTo(1))
+}
