catalog: one place for the identity of a server's incarnation

Cause: schedule and ingress each built it from a registration. Change: catalog.Server.Incarnation. No change in behaviour. Measured: go vet and the tests of schedule and availability pass.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/fuchsiarouter/fuchsiarouter/availability"
 )
 
 // Server is the registration of a backend server.
@@ -24,6 +26,11 @@
 	Versions map[string]int
 }
 
+// Incarnation returns the identity of the server's incarnation.
+func (s *Server) Incarnation() availability.Server {
+	return availability.Server{ID: s.ID, Address: s.Address, Started: s.Started}
+}
+
 // IsSameIncarnation reports whether two registrations belong to one incarnation: they have
 // the same ID, start, address and service.
 func (s *Server) IsSameIncarnation(other *Server) bool {
--- a/ingress/availability.go
+++ b/ingress/availability.go
@@ -10,11 +10,6 @@
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 )
 
-// incarnation returns the identity of a server's incarnation.
-func incarnation(server *catalog.Server) availability.Server {
-	return availability.Server{ID: server.ID, Address: server.Address, Started: server.Started}
-}
-
 // recordAvailability applies what the head of a response says about further requests to its server.
 // The other entries are told at once that a server leaves. They are not told of a pause: the server
 // asks this entry for it, and perhaps only since this one sends too much.
@@ -28,7 +23,7 @@
 	}
 	if reply.Leaving {
 		i.mu.Lock()
-		added := i.scheduler.MarkLeaving(now, incarnation(server))
+		added := i.scheduler.MarkLeaving(now, server.Incarnation())
 		i.mu.Unlock()
 		if added {
 			i.metrics.serversLeaving.Inc(1)
@@ -44,7 +39,7 @@
 	}
 	if reply.Pause > 0 {
 		i.mu.Lock()
-		i.scheduler.Pause(now, incarnation(server), reply.Pause)
+		i.scheduler.Pause(now, server.Incarnation(), reply.Pause)
 		i.mu.Unlock()
 		i.metrics.serverPauses.Inc(1)
 		i.requestLog.write("server pauses", append(fields, zap.String("retry-after", reply.PauseText), zap.Duration("pause", reply.Pause)))
@@ -72,7 +67,7 @@
 			continue
 		}
 		i.mu.Lock()
-		added := i.scheduler.MarkLeaving(now, incarnation(server))
+		added := i.scheduler.MarkLeaving(now, server.Incarnation())
 		i.mu.Unlock()
 		if added {
 			i.metrics.serversLeaving.Inc(1)
--- a/schedule/availability.go
+++ b/schedule/availability.go
@@ -32,7 +32,7 @@
 func (s *Scheduler) LeavingReport(now time.Time) []availability.Server {
 	return s.availability.Report(now, func(id availability.Server) bool {
 		server := s.servers[id.ID]
-		return server != nil && server.identity() == id
+		return server != nil && server.Incarnation() == id
 	})
 }
 
@@ -46,7 +46,7 @@
 // applyAvailability uses a state for the server, if this incarnation is registered.
 func (s *Scheduler) applyAvailability(now time.Time, id availability.Server, state *availability.State) {
 	server := s.servers[id.ID]
-	if server == nil || server.identity() != id {
+	if server == nil || server.Incarnation() != id {
 		return
 	}
 	server.availability = state
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -197,7 +197,7 @@
 		updated := servers[id]
 		if updated == nil || !updated.IsSameIncarnation(existing.Server) {
 			if existing.Started == 0 {
-				s.availability.Forget(existing.identity())
+				s.availability.Forget(existing.Incarnation())
 			}
 			delete(s.servers, id)
 		}
@@ -209,7 +209,7 @@
 			s.servers[id] = existing
 		}
 		existing.Server = updated
-		existing.availability = s.availability.Find(existing.identity())
+		existing.availability = s.availability.Find(existing.Incarnation())
 		svc := s.serviceFor(updated.Service)
 		svc.servers = append(svc.servers, existing)
 	}
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -66,11 +66,6 @@
 // to what it has said itself.
 func (s *server) isLeaving() bool { return s.Draining || s.availability.IsLeaving() }
 
-// identity returns the identity of the server's incarnation.
-func (s *server) identity() availability.Server {
-	return availability.Server{ID: s.ID, Address: s.Address, Started: s.Started}
-}
-
 // wouldDelayLoad reports whether the server is about to load weights and the request
 // would still be running by then: the server would take no new requests while it waits
 // for this one. Requests of the most urgent rank are short and may be sent there anyway,
