--- a/standin/platformtest/pause_test.go
+++ b/standin/platformtest/pause_test.go
@@ -137,3 +137,42 @@
 	g.Expect(most.Load()).To(gomega.BeEquivalentTo(1))
 	callers.Wait()
 }
+
+// TestServerThatPausesAgain guards against requests during the pauses of a server that asks for
+// another one after each.
+func TestServerThatPausesAgain(t *testing.T) {
+	const pause, notice, length = time.Second, 500 * time.Millisecond, 6 * time.Second
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	f.removeServers(f.plainServers)
+	var mu sync.Mutex
+	var arrivals []time.Time
+	f.newScriptedServer("s0", "plain", func(request *http.Request) string {
+		mu.Lock()
+		defer mu.Unlock()
+		arrivals = append(arrivals, time.Now())
+		return pauseReply(request, "1")
+	})
+	f.newScriptedServer("s1", "plain", whole)
+	awaitRegistrations()
+	var callers sync.WaitGroup
+	for range 8 {
+		callers.Go(func() {
+			for end := time.Now().Add(length); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+				if status, body, _, err := f.send("POST", "/stock/x", "k1", ""); err != nil || status != http.StatusOK {
+					t.Error(status, body, err)
+				}
+			}
+		})
+	}
+	callers.Wait()
+	mu.Lock()
+	defer mu.Unlock()
+	for i, answered := range arrivals {
+		for _, arrived := range arrivals[i+1:] {
+			since := arrived.Sub(answered)
+			g.Expect(since < notice || since >= pause).To(gomega.BeTrue(), "a request %v after the start of a pause", since)
+		}
+	}
+	g.Expect(len(arrivals)).To(gomega.BeNumerically(">", 2), "the server gets requests between its pauses")
+}
