fleet: ignore a heartbeat that was sent before the known state

Cause: a link that holds messages back delivers them when it recovers. An entry took a full heartbeat that was held since before the sender's last change for its current state: revisions, versions, slots, role and that it leaves. The sender knows that its newest state was answered and sends short heartbeats, which don't correct it. Change: within an incarnation, a heartbeat with a lower serial number is ignored, as such reports of other entries are already. Measured: TestDelayedHeartbeatIgnored failed before.

--- a/fleet/view.go
+++ b/fleet/view.go
@@ -100,8 +100,8 @@
 
 // RecordHeartbeat records a heartbeat that the member sent itself, and reports
 // whether it was accepted. A heartbeat without an ID, or with a lower incarnation
-// than the known one, is ignored: the latter was sent before the member's last
-// restart.
+// or, within the incarnation, a lower serial number than the known one, is ignored: it
+// was sent before the member's last restart or change, and delayed since.
 func (v *View) RecordHeartbeat(now time.Time, member fuchsiarouter.Member) bool {
 	if !v.update(now, now, member) {
 		return false
@@ -134,7 +134,7 @@
 		v.members[member.ID] = known
 	case member.Incarnation < known.Incarnation:
 		return false
-	case member.Incarnation == known.Incarnation && heardAt.Before(known.HeardAt):
+	case member.Incarnation == known.Incarnation && (heardAt.Before(known.HeardAt) || member.Serial < known.Serial):
 		return false
 	case member.Incarnation > known.Incarnation:
 		*known = Member{Status: known.Status}
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -73,6 +73,26 @@
 	g.Expect(view.ReadyAgents("rounds", "ab")).To(gomega.HaveLen(1))
 }
 
+// TestDelayedHeartbeatIgnored guards against an earlier state of a member that is taken for its
+// state since a link held the heartbeat back: short heartbeats would not correct it.
+func TestDelayedHeartbeatIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	view := fleet.New(fleet.Settings{})
+	var serials fleet.SerialCounter
+	delayed := serials.Next(agent(0, "norte"))
+	leaving := agent(0, "norte")
+	leaving.State, leaving.Versions = fuchsiarouter.StateLeaving, nil
+	leaving = serials.Next(leaving)
+	g.Expect(view.RecordHeartbeat(start, leaving)).To(gomega.BeTrue())
+	g.Expect(view.RecordHeartbeat(start.Add(2*time.Second), delayed)).To(gomega.BeFalse())
+	g.Expect(view.RecordShortHeartbeat(start.Add(2500*time.Millisecond), fleet.NewShortHeartbeat(leaving))).To(gomega.BeTrue())
+	member, _ := view.Member(leaving.ID)
+	g.Expect(member.IsLeaving()).To(gomega.BeTrue())
+	g.Expect(member.Versions).To(gomega.BeEmpty())
+	// A delayed heartbeat is no sign of life.
+	g.Expect(member.HeardAt).To(gomega.Equal(start.Add(2500 * time.Millisecond)))
+}
+
 // TestIndirectReportKeepsAge guards against two entries that keep a dead member
 // alive by reporting it to each other.
 func TestIndirectReportKeepsAge(t *testing.T) {
