fleet: a short heartbeat publishes no newer state than this entry has

Cause: a watcher that hears a silent member again publishes that. For a short heartbeat it gave the change the serial number that it knew from other watchers, and the change took over the fields of its own earlier one. Other entries thus took an earlier state for the newest: versions, revisions, slots, role. It happens when a link that held a short heartbeat back recovers after the member has changed. The watcher also took the state for published, so it did not report it later either. Change: such a change has the serial number of the state that this entry has published, and only a full heartbeat changes what is compared.

--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -149,6 +149,47 @@
 	g.Expect(watchers[1].ReadyAgents("rounds", "cd")).To(gomega.HaveLen(1))
 }
 
+// TestDelayedShortHeartbeatPublishesNoState guards against a watcher that reports an earlier state of
+// a member as its current one, since a link held a short heartbeat back while the member's state
+// changed and other watchers reported the change.
+func TestDelayedShortHeartbeatPublishesNoState(t *testing.T) {
+	g := gomega.NewWithT(t)
+	cutOff, watcher, reader := fleet.NewRelay("a", 1, fleet.Settings{}), fleet.NewRelay("b", 1, fleet.Settings{}), fleet.NewRelay("c", 1, fleet.Settings{})
+	for _, relay := range []*fleet.Relay{cutOff, watcher, reader} {
+		relay.SetMesh(true)
+	}
+	pass := func(now time.Time, from *fleet.Relay, id string, to *fleet.Relay) {
+		changes, _ := from.ChangesSince("", 0, math.MaxInt)
+		to.ReceiveSnapshot(now, id, changes)
+	}
+	var serials fleet.SerialCounter
+	record := func(now time.Time, digest string, relays ...*fleet.Relay) fuchsiarouter.Member {
+		member := agent(0, "norte")
+		member.Versions = []fuchsiarouter.Version{{Model: "rounds", Digest: digest, State: fuchsiarouter.VersionReady}}
+		member = serials.Next(member)
+		for _, relay := range relays {
+			relay.RecordHeartbeat(now, member)
+		}
+		return member
+	}
+	record(start, "first", cutOff, watcher)
+	second := record(start, "second", cutOff, watcher)
+	now := start.Add(5 * time.Second)
+	cutOff.Tick(now)
+	record(now, "third", watcher, reader)
+	pass(now, watcher, "b", cutOff)
+	g.Expect(cutOff.RecordShortHeartbeat(now, fleet.NewShortHeartbeat(second))).To(gomega.BeTrue())
+	pass(now, cutOff, "a", reader)
+	g.Expect(reader.ReadyAgents("rounds", "third")).To(gomega.HaveLen(1))
+	g.Expect(cutOff.ReadyAgents("rounds", "third")).To(gomega.HaveLen(1))
+	// A watcher that other ones have told of a state publishes it when it receives the state itself.
+	record(now, "third", cutOff)
+	late := fleet.NewRelay("d", 1, fleet.Settings{})
+	pass(now, cutOff, "a", late)
+	g.Expect(late.ReadyAgents("rounds", "third")).To(gomega.HaveLen(1))
+	g.Expect(late.ReadyAgents("rounds", "first")).To(gomega.BeEmpty())
+}
+
 // TestMarkLeavingReachesWatchers guards against an operator's drain request that
 // is sent to one entry and does not reach the entries that watch the VM.
 func TestMarkLeavingReachesWatchers(t *testing.T) {
--- a/fleet/relay.go
+++ b/fleet/relay.go
@@ -37,8 +37,8 @@
 	// lastNumber is the number of the last change that this entry published. It
 	// starts at the incarnation, so that numbers also increase across a restart.
 	lastNumber int64
-	// published holds, by ID, the state of each member after its last heartbeat to
-	// this entry, with which its next full heartbeat is compared. publishedSilent
+	// published holds, by ID, the state of each member after its last full heartbeat to
+	// this entry, with which its next one is compared. publishedSilent
 	// holds the IDs of those whose silence was published since.
 	published       map[string]fuchsiarouter.Member
 	publishedSilent map[string]bool
@@ -123,12 +123,20 @@
 		change.Member = &announced
 	case isFull && r.fillDifference(&change, last, member.Member):
 	case !r.publishedSilent[id]:
-		r.published[id] = member.Member
+		if isFull {
+			r.published[id] = member.Member
+		}
 		return
 	}
 	delete(r.publishedSilent, id)
 	delete(r.evictedAt, id)
-	r.published[id] = member.Member
+	if isFull {
+		r.published[id] = member.Member
+	} else {
+		// The state may be newer than what this entry has published, if other watchers have
+		// reported it.
+		change.Serial = last.Serial
+	}
 	r.publish(change)
 }
 
