--- a/standin/scenario/expect.go
+++ b/standin/scenario/expect.go
@@ -69,8 +69,10 @@
 //	expect silent AGENT… longer=12s status=suspect
 //	                                        the agents have this status at every entry
 //	                                        after this time without a heartbeat
-//	expect revision SECTION revision=N      the revision of the section is in force at
-//	                                        every entry, by default within 4 s
+//	expect revision SECTION revision=N entry=NAME
+//	                                        the revision of the section is in force at
+//	                                        every entry or at the named one, by default
+//	                                        within 4 s
 //	expect entries count=N                  callers are told exactly this many entries
 //	expect promises                         the checker finds no violation
 func (s *State) expect(args arguments) error {
@@ -362,15 +364,19 @@
 	return errors.Errorf("%d broken promises:%s", len(violations), text.String())
 }
 
-// expectRevision waits until the revision of a configuration section is in force at every
-// live entry.
+// expectRevision waits until the revision of a configuration section is in force at one entry
+// or, if none is named, at every live entry, and at the live members that the entry knows.
 func (s *State) expectRevision(args *arguments) error {
 	section := document.Section(args.operand(1))
 	revision, within := args.intOption("revision", 1), args.durationOption("within", configurationTimeout)
+	entries := s.liveEntries()
+	if entry := args.stringOption("entry", ""); entry != "" {
+		entries = []string{entry}
+	}
 	if err := args.check(); err != nil {
 		return err
 	}
-	for _, entry := range s.liveEntries() {
+	for _, entry := range entries {
 		if err := s.bench.AwaitRevision(s.ctx, entry, string(section), int64(revision), within); err != nil {
 			return err
 		}
