loader: an engine that is started again does not leave

Cause: the loader kept the start of the incarnation that had said that it leaves, and repeated it with each later change. If an engine doesn't report its start, the next incarnation can't be told apart, and was announced as leaving. Change: what the last report says holds.

--- a/loader/announce.go
+++ b/loader/announce.go
@@ -63,8 +63,9 @@
 const maxAnnouncedEntries = 12
 
 // announce sends the engine's versions, whether it is loading, and the time until its next
-// load to some entries in UDP datagrams, and that the engine leaves if it says so. The entries thus know a change before the engine's
-// own record in the platform's registry shows it.
+// load to some entries in UDP datagrams, and that the engine leaves if it says so. The
+// entries thus know a change before the engine's own record in the platform's registry shows
+// it.
 func (l *Loader) announce() {
 	l.mu.Lock()
 	message := roster.Message{Engine: &roster.EngineStatus{Address: l.settings.EngineAddress, Versions: map[string]int{}}}
--- a/loader/converge.go
+++ b/loader/converge.go
@@ -211,7 +211,8 @@
 	current := engineState{version: report.LoadedVersions[model], loading: report.Busy}
 	l.engineStates[model] = current
 	leaves := report.Leaving && (l.leavingStart == nil || *l.leavingStart != report.StartedAt)
-	if leaves {
+	l.leavingStart = nil
+	if report.Leaving {
 		l.leavingStart = &report.StartedAt
 	}
 	if previous != current || leaves {
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -114,8 +114,8 @@
 	// announced repeatedly for announceDuration after it.
 	engineStates map[string]engineState
 	changedAt    time.Time
-	// leavingStart is the start, in Unix ms, of the incarnation of the engine that has said last
-	// that it leaves, nil if none has.
+	// leavingStart is the start, in Unix ms, of the engine's incarnation if it has said in the
+	// last report that it leaves, and nil otherwise.
 	leavingStart *int64
 	// engineLost is set while the engine does not answer. Only converge uses it.
 	engineLost bool
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -411,7 +411,7 @@
 }
 
 // TestLeavingEngineIsAnnounced guards against entries that learn too late, while the registry is
-// down, that an engine without requests leaves.
+// down, that an engine without requests leaves, and against announcing it of the next incarnation.
 func TestLeavingEngineIsAnnounced(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := newFakeFleet(t)
@@ -425,14 +425,30 @@
 	engine.mu.Unlock()
 	g.Expect(entry.SetReadDeadline(time.Now().Add(testTimeout))).To(gomega.Succeed())
 	buffer := make([]byte, 1<<10)
-	for {
+	read := func() *roster.Message {
 		n, _, err := entry.ReadFrom(buffer)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		message, err := roster.Decode(buffer[:n])
 		g.Expect(err).NotTo(gomega.HaveOccurred())
-		if message.LeavingEngine != nil {
-			g.Expect(*message.LeavingEngine).To(gomega.Equal(availability.Server{Address: "127.0.0.2:9", Started: 7}))
-			return
-		}
+		return message
+	}
+	message := read()
+	for message.LeavingEngine == nil {
+		message = read()
+	}
+	g.Expect(*message.LeavingEngine).To(gomega.Equal(availability.Server{Address: "127.0.0.2:9", Started: 7}))
+	// The engine is started again, and does not say when.
+	engine.mu.Lock()
+	engine.leaving, engine.version = false, 0
+	engine.mu.Unlock()
+	for message.Engine == nil || len(message.Engine.Versions) > 0 {
+		message = read()
+	}
+	// An announcement that has begun may end after the first one of the new state.
+	for range 3 {
+		read()
+	}
+	for range 4 {
+		g.Expect(read().LeavingEngine).To(gomega.BeNil())
 	}
 }
