--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -85,8 +85,10 @@
 	g := gomega.NewWithT(t)
 	store, err := keyedstore.New(allocateAddress())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
-	f := &testFleet{t: t, store: store, callerAddress: allocateAddress(), readinessAddress: allocateAddress(),
-		peerAddress: allocateAddress(), client: &http.Client{Timeout: waitTimeout}}
+	f := &testFleet{
+		t: t, store: store, callerAddress: allocateAddress(), readinessAddress: allocateAddress(),
+		peerAddress: allocateAddress(), client: &http.Client{Timeout: waitTimeout},
+	}
 	f.publishConfiguration(1, "k1", "k2")
 	for i := range 2 {
 		llm, err := backendserver.New(fmt.Sprint("e", i), backendserver.Behaviour{StreamEvents: 5, EventInterval: 5 * time.Millisecond})
