fleet: shorten the comments of two regression tests

Cause: a regression test has one line of comment; the story is in docs/incidents/held-heartbeats.md. Change: comments only.

--- a/fleet/mesh_test.go
+++ b/fleet/mesh_test.go
@@ -149,9 +149,7 @@
 	g.Expect(watchers[1].ReadyAgents("rounds", "cd")).To(gomega.HaveLen(1))
 }
 
-// TestDelayedShortHeartbeatPublishesNoState guards against a watcher that reports an earlier state of
-// a member as its current one, since a link held a short heartbeat back while the member's state
-// changed and other watchers reported the change.
+// TestDelayedShortHeartbeatPublishesNoState guards against publishing an earlier state as the newest.
 func TestDelayedShortHeartbeatPublishesNoState(t *testing.T) {
 	g := gomega.NewWithT(t)
 	cutOff, watcher, reader := fleet.NewRelay("a", 1, fleet.Settings{}), fleet.NewRelay("b", 1, fleet.Settings{}), fleet.NewRelay("c", 1, fleet.Settings{})
@@ -182,7 +180,6 @@
 	pass(now, cutOff, "a", reader)
 	g.Expect(reader.ReadyAgents("rounds", "third")).To(gomega.HaveLen(1))
 	g.Expect(cutOff.ReadyAgents("rounds", "third")).To(gomega.HaveLen(1))
-	// A watcher that other ones have told of a state publishes it when it receives the state itself.
 	record(now, "third", cutOff)
 	late := fleet.NewRelay("d", 1, fleet.Settings{})
 	pass(now, cutOff, "a", late)
--- a/fleet/view_test.go
+++ b/fleet/view_test.go
@@ -73,8 +73,7 @@
 	g.Expect(view.ReadyAgents("rounds", "ab")).To(gomega.HaveLen(1))
 }
 
-// TestDelayedHeartbeatIgnored guards against an earlier state of a member that is taken for its
-// state since a link held the heartbeat back: short heartbeats would not correct it.
+// TestDelayedHeartbeatIgnored guards against a held heartbeat that sets a member back for good.
 func TestDelayedHeartbeatIgnored(t *testing.T) {
 	g := gomega.NewWithT(t)
 	view := fleet.New(fleet.Settings{})
@@ -89,7 +88,6 @@
 	member, _ := view.Member(leaving.ID)
 	g.Expect(member.IsLeaving()).To(gomega.BeTrue())
 	g.Expect(member.Versions).To(gomega.BeEmpty())
-	// A delayed heartbeat is no sign of life.
 	g.Expect(member.HeardAt).To(gomega.Equal(start.Add(2500 * time.Millisecond)))
 }
 
