ingress: forward multipart forms byte for byte

Seen by callers: a form (multipart/form-data with a length) ran at the backend server with another body than the caller sent: the type of a part was dropped and the fields came in a random order. A body of that type which is no whole form was rejected with 400. Cause: fasthttp.Server parses such a body as it reads it, and Request.Body() writes a new one from the parsed fields. Ruled out: the exchange and the dialect, which see the body only after that; chunked forms, which are not parsed early, arrive unchanged. Change: the server of the callers does not parse forms. TestForwardsFormsUnchanged before the fix: --- FAIL: TestForwardsFormsUnchanged/form_0_length_/book/1 (also /stock/1, /llm/stream; another body) --- FAIL: TestForwardsFormsUnchanged/form_1_length_/book/1 (also /stock/1, /llm/stream; status 400) It passes with the fix.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -266,7 +266,9 @@
 		Handler: i.serve, ErrorHandler: i.handleParseError,
 		ReadBufferSize: headBufferBytes, MaxRequestBodySize: maxBodyBytes,
 		IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
-		NoDefaultServerHeader: true, NoDefaultDate: true, NoDefaultContentType: true,
+		// A multipart form that is parsed is not forwarded byte for byte: fasthttp writes it anew.
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true, NoDefaultDate: true, NoDefaultContentType: true,
 		Logger: zap.NewStdLog(i.log),
 	}
 	recordHandler := relay.Handler(i.mirror)
--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -11,6 +11,7 @@
 	"net"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -204,6 +205,53 @@
 	g.Expect(body).To(gomega.Equal(streamBody(1, 5)))
 }
 
+// formBodies are multipart bodies with the boundary "b". An HTTP server that parses the first
+// and writes it again drops the type of a part and changes the order of the fields; it rejects
+// the second, whose last boundary is missing.
+var formBodies = []string{
+	"--b\r\nContent-Disposition: form-data; name=\"order\"\r\nContent-Type: application/json\r\n\r\n{}\r\n" +
+		"--b\r\nContent-Disposition: form-data; name=\"depot\"\r\n\r\n2\r\n" +
+		"--b\r\nContent-Disposition: form-data; name=\"note\"; filename=\"n.txt\"\r\n\r\nstains\r\n--b--\r\n",
+	"--b\r\nContent-Disposition: form-data; name=\"order\"\r\n\r\n1",
+}
+
+// TestForwardsFormsUnchanged guards against parsing a multipart body and sending another one to
+// the server, and against rejecting a body that is no form.
+func TestForwardsFormsUnchanged(t *testing.T) {
+	f := startFleet(t)
+	for index, form := range formBodies {
+		for _, framing := range []string{"length", "chunked"} {
+			for _, path := range []string{"/book/1", "/stock/1", "/llm/stream"} {
+				t.Run(fmt.Sprint("form ", index, " ", framing, " ", path), func(t *testing.T) {
+					g := gomega.NewWithT(t)
+					id := fmt.Sprintf("%x", time.Now().UnixNano())
+					var body io.Reader = strings.NewReader(form)
+					if framing == "chunked" {
+						// The client sends a reader of unknown length in chunks.
+						body = io.MultiReader(body)
+					}
+					request, err := http.NewRequest(http.MethodPost, "http://"+f.callerAddress+path, body)
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					request.Host = "h.example"
+					request.Header.Set("X-Attempt-Id", id)
+					request.Header.Set("X-Model", "m")
+					request.Header.Set("Authorization", "Bearer k1")
+					request.Header.Set("Content-Type", "multipart/form-data; boundary=b")
+					response, err := f.client.Do(request)
+					g.Expect(err).NotTo(gomega.HaveOccurred())
+					defer response.Body.Close()
+					g.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+					runs := slices.DeleteFunc(f.allRuns(slices.Concat(f.llmServers, f.plainServers)), func(run backendserver.Run) bool {
+						return run.RequestID != id
+					})
+					g.Expect(runs).To(gomega.HaveLen(1))
+					g.Expect(runs[0].Body).To(gomega.Equal(form))
+				})
+			}
+		}
+	}
+}
+
 // TestRejectsInvalidRequests guards against running a request that has no route, no valid
 // API key or too large a body.
 func TestRejectsInvalidRequests(t *testing.T) {
