entry, agent: forward multipart forms byte for byte

A form for a plain service reached it with another body, at the entry and once more at the agent. Since the fields came in a random order, a repetition of a call with the same idempotency key could count as another call. Cause: both servers let fasthttp parse forms, and PostBody and Request.Body write new ones. The other servers (control, peers, loader, relay) read no body that is forwarded. Change: the servers of entry and agent don't parse forms. Measured: before the fix --- FAIL: TestRepeatedForm (entry; the type of a part is gone) --- FAIL: TestForwardsFormUnchanged (agent; the same) Both pass with it, and so do all tests of both packages.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -164,12 +164,14 @@
 		a.callHandler.isUp = a.engineMonitor.isUp
 	}
 	a.server = &fasthttp.Server{
-		Handler:               a.handler(),
-		IdleTimeout:           serverIdleTimeout,
-		MaxRequestBodySize:    a.settings.MaxBodyBytes,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		Logger:                discardLogger{},
+		Handler:            a.handler(),
+		IdleTimeout:        serverIdleTimeout,
+		MaxRequestBodySize: a.settings.MaxBodyBytes,
+		// A multipart form that is parsed is not forwarded byte for byte: fasthttp writes it anew.
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		Logger:                       discardLogger{},
 	}
 }
 
--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -6,6 +6,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -130,6 +131,9 @@
 	// statefulEngine keeps track of orders; when it is nil, the engine accepts
 	// every order and keeps no state.
 	statefulEngine *statefulEngine
+	// service is the name of the plain service that the agent has in place of the engine,
+	// empty if it has the engine.
+	service string
 }
 
 // startAgent starts an agent with a fake engine, which reports the digest after a load,
@@ -167,13 +171,17 @@
 	}
 	tracer, err := trace.New(t.Context(), "agent", "agent-1", "")
 	f.Expect(err).NotTo(gomega.HaveOccurred())
-	f.agent, err = agent.New(settings.Agent{
+	agentSettings := settings.Agent{
 		Common: settings.Common{
 			ID: "agent-1", Region: "norte", AvailabilityZone: "norte-a", Address: "127.0.0.1:0",
 			EntryAddresses: entryAddresses, BootstrapKey: hex.EncodeToString(public), MaxBodyBytes: 1 << 20,
 		},
 		EngineAddress: engine.Listener.Addr().String(), Slots: 4, CacheBytes: 1 << 20, QueueLimit: 16,
-	}, zap.NewNop(), tracer, telemetry.NewMetrics("agent"), origin, nil)
+	}
+	if f.service != "" {
+		agentSettings.Service, agentSettings.Backend, agentSettings.EngineAddress = f.service, agentSettings.EngineAddress, ""
+	}
+	f.agent, err = agent.New(agentSettings, zap.NewNop(), tracer, telemetry.NewMetrics("agent"), origin, nil)
 	f.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(f.agent.Close)
 	return f
@@ -224,6 +232,8 @@
 		_ = json.NewEncoder(w).Encode(map[string]string{"digest": *f.reportedDigest.Load()})
 	case "/v1/chat/completions":
 		(*f.answer.Load())(w, r)
+	case "/echo":
+		_, _ = io.Copy(w, r.Body)
 	}
 }
 
@@ -291,6 +301,21 @@
 	}
 }
 
+// TestForwardsFormUnchanged guards against parsing a multipart body and sending another one to the
+// service.
+func TestForwardsFormUnchanged(t *testing.T) {
+	const form = "--b\r\nContent-Disposition: form-data; name=\"order\"\r\nContent-Type: application/json\r\n\r\n{}\r\n--b--\r\n"
+	f := startAgent(t, "", func(f *fixture) { f.service = "booking" })
+	call := dispatch.Call{
+		RequestID: "r-1", Workspace: "mopa", Rank: document.Normal, Deadline: time.Now().Add(5 * time.Second), Method: http.MethodPost,
+		Path: "/v1/services/booking/echo", ContentType: "multipart/form-data; boundary=b", Body: []byte(form),
+	}
+	request, response := &fasthttp.Request{}, &fasthttp.Response{}
+	call.Encode(request, f.agent.Address(), time.Now())
+	f.Expect(fasthttp.Do(request, response)).To(gomega.Succeed())
+	f.Expect(string(response.Body())).To(gomega.Equal(form))
+}
+
 // TestUnverifiedVersion guards against a version that is served although the
 // bytes that the engine loaded do not match the manifest.
 func TestUnverifiedVersion(t *testing.T) {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -171,13 +171,15 @@
 	})
 	e.issuer = ledger.NewIssuer(claim.Holder{ID: e.settings.ID, Incarnation: e.incarnation}, claim.Settings{})
 	e.server = &fasthttp.Server{
-		Handler:               e.handle,
-		IdleTimeout:           serverIdleTimeout,
-		MaxRequestBodySize:    e.settings.MaxBodyBytes,
-		NoDefaultServerHeader: true,
-		CloseOnShutdown:       true,
-		ErrorHandler:          refuseMalformed,
-		Logger:                discardLogger{},
+		Handler:            e.handle,
+		IdleTimeout:        serverIdleTimeout,
+		MaxRequestBodySize: e.settings.MaxBodyBytes,
+		// A multipart form that is parsed is not forwarded byte for byte: fasthttp writes it anew.
+		DisablePreParseMultipartForm: true,
+		NoDefaultServerHeader:        true,
+		CloseOnShutdown:              true,
+		ErrorHandler:                 refuseMalformed,
+		Logger:                       discardLogger{},
 	}
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -451,6 +451,33 @@
 	f.Expect(runs.Load()).To(gomega.Equal(int64(1)))
 }
 
+// TestRepeatedForm guards against parsing a multipart body: it would reach the service changed, and
+// a repetition of the call, whose fields then have another order, would count as another call.
+func TestRepeatedForm(t *testing.T) {
+	const (
+		path        = "/v1/services/booking/x"
+		contentType = "multipart/form-data; boundary=b"
+	)
+	var form strings.Builder
+	for field := range 6 {
+		fmt.Fprintf(&form, "--b\r\nContent-Disposition: form-data; name=\"f%d\"\r\nContent-Type: text/plain\r\n\r\n%d\r\n", field, field)
+	}
+	form.WriteString("--b--\r\n")
+	f := startEntry(t)
+	var runs atomic.Int64
+	f.startBackend("agent-booking", "booking", func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		runs.Add(1)
+		_, _ = w.Write(body)
+	})
+	var issued struct{ Key string }
+	f.Expect(json.Unmarshal([]byte(f.post("/v1/keys", "").text), &issued)).To(gomega.Succeed())
+	for range 3 {
+		f.Expect(f.post(path, form.String(), "Idempotency-Key", issued.Key, "Content-Type", contentType).text).To(gomega.Equal(form.String()))
+	}
+	f.Expect(runs.Load()).To(gomega.Equal(int64(1)))
+}
+
 // TestDrainFinishesRequests checks that a draining entry completes a request in progress
 // and refuses new ones.
 func TestDrainFinishesRequests(t *testing.T) {
