ingress: hedge requests at silent servers instead of giving them up

Seen by callers (LOST): a stream ends without its last event, or a repeatable request gets 502 (server-lost), although its server is sound and only falls silent for a second. Cause: a server without progress for 900 ms counts as frozen, and its idempotent requests were cancelled there before it was known whether another server takes them. Where none did (none free, refused, failed, silent as well, budget or attempts used up), the answer was lost. The bytes of a body that is not a stream did not count as progress either. Ruled out: the change of the configuration itself (the failures are the same without it); connections that time out (TCP_USER_TIMEOUT is 3 s, and the requests end 0.9 s after the server fell silent); unsafe requests and streams that can't be resumed, which were never cancelled. Change: a stalled server is suspended as before, but its requests stay there. A request that may be sent again is hedged: sent to a further server within the limits of attempts and of the resend budget. If the hedge has a response before the first server goes on, the first attempt is cancelled; if the first server goes on, the hedge is. If the first attempt fails, the request waits for the hedge. Only requests for which the server has not begun to respond for 2 s, and of whose answer the caller has nothing, are taken back as before, so that a frozen engine doesn't run them later. Body bytes count as progress. Why it works: no answer is ended because of silence alone; it ends when another one has begun, when its server or caller breaks off, or at its deadline.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -424,13 +424,14 @@
 
 // ReadAll reads the body to its end. It returns an error if the body is longer than limit
 // bytes. Bodies of more than smallBodyBytes are read one after the other, because all of
-// them together may not fit into memory; the deadline of the request bounds the wait.
-func (r *Response) ReadAll(limit int) ([]byte, error) {
+// them together may not fit into memory; the deadline of the request bounds the wait. After
+// each read, onRead is called with the number of bytes read so far, unless it is nil.
+func (r *Response) ReadAll(limit int, onRead func(total int)) ([]byte, error) {
 	if r.length > limit {
 		return nil, errors.Errorf("response of %d bytes exceeds the limit of %d bytes", r.length, limit)
 	}
 	body := make([]byte, 0, min(max(r.length, 0), smallBodyBytes)+bytes.MinRead)
-	body, ended, err := r.readInto(body, smallBodyBytes)
+	body, ended, err := r.readInto(body, smallBodyBytes, onRead)
 	if err != nil || ended {
 		return body, err
 	}
@@ -442,7 +443,7 @@
 	case <-timer.C:
 		return nil, errors.New("other large responses were read until the deadline")
 	}
-	buffer, ended, err = r.readInto(append(buffer[:0], body...), limit+1)
+	buffer, ended, err = r.readInto(append(buffer[:0], body...), limit+1, onRead)
 	if err == nil && !ended {
 		err = errors.Errorf("response exceeds the limit of %d bytes", limit)
 	}
@@ -454,8 +455,8 @@
 }
 
 // readInto appends the body to buffer, up to a size of size bytes, and reports whether the
-// body has ended before.
-func (r *Response) readInto(buffer []byte, size int) (body []byte, ended bool, err error) {
+// body has ended before. onRead is that of ReadAll.
+func (r *Response) readInto(buffer []byte, size int, onRead func(int)) (body []byte, ended bool, err error) {
 	for len(buffer) < size {
 		if len(buffer) == cap(buffer) {
 			grown := make([]byte, len(buffer), min(2*cap(buffer), size))
@@ -464,6 +465,9 @@
 		}
 		n, err := r.Read(buffer[len(buffer):min(cap(buffer), size)])
 		buffer = buffer[:len(buffer)+n]
+		if n > 0 && onRead != nil {
+			onRead(len(buffer))
+		}
 		if errors.Is(err, io.EOF) {
 			return buffer, true, nil
 		}
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -96,7 +96,7 @@
 		return "", err
 	}
 	defer response.Close()
-	body, err := response.ReadAll(1 << 20)
+	body, err := response.ReadAll(1<<20, nil)
 	return string(body), err
 }
 
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -36,6 +36,9 @@
 	minTimeForAttempt = 3 * time.Millisecond
 )
 
+// errReplaced reports an attempt whose response arrived after that of its hedge.
+var errReplaced = errors.New("another server has answered first")
+
 // resendBudget bounds how often this entry sends requests of one service again.
 type resendBudget = retry.WindowBudget
 
@@ -72,16 +75,14 @@
 	if r.route.Kind == catalog.Stream {
 		return i.runStream(r)
 	}
+	response, failure := i.sendUntilDeliverable(r)
 	for {
-		response, failure := i.sendUntilDeliverable(r, "")
 		if failure != nil {
 			return failure
 		}
-		body, err := response.http.ReadAll(maxResponseBytes)
+		body, err := response.http.ReadAll(maxResponseBytes, i.bodyProgress(r))
 		if err != nil {
-			if failure = i.handleInterruptedResponse(r, response, err); failure != nil {
-				return failure
-			}
+			response, failure = i.replaceInterrupted(r, response, err)
 			continue
 		}
 		if isSuccess(response.http.Header.StatusCode()) {
@@ -114,10 +115,8 @@
 }
 
 // sendUntilDeliverable sends the request to one server after another until one gives a
-// response that can be passed to the caller. Of this response, the head has been read. If
-// lastEvent is not empty, the server is asked to resume the stream after the event with
-// this ID; otherwise after the one that the caller's request names, if any.
-func (i *Ingress) sendUntilDeliverable(r *request, lastEvent string) (*serverResponse, *result.Error) {
+// response that can be passed to the caller. Of this response, the head has been read.
+func (i *Ingress) sendUntilDeliverable(r *request) (*serverResponse, *result.Error) {
 	for {
 		server, failure := i.acquireServer(r)
 		if failure != nil {
@@ -128,12 +127,15 @@
 			i.releaseServer(r, server.ID, schedule.Cancelled)
 			return nil, r.withPossibleRun(failure)
 		}
-		response, err := i.sendOnce(r, server, lastEvent)
+		response, err := i.roundTrip(r, server, i.formatRequest(r, server), false)
 		if err == nil && i.isDeliverable(r, response) {
-			return response, nil
+			if i.advance(time.Now(), r.activeAttempt, r.position) {
+				return response, nil
+			}
+			err = errReplaced
 		}
-		if failure := i.handleFailedAttempt(r, server, response, err); failure != nil {
-			return nil, failure
+		if next, failure := i.handleFailedAttempt(r, server, response, err); next != nil || failure != nil {
+			return next, failure
 		}
 	}
 }
@@ -202,13 +204,10 @@
 	return failure
 }
 
-// sendOnce sends the request to a server and reads the head of the response. It returns an
-// error if there is no response. In either case, the attempt is active until releaseServer
-// is called. The arrival of the head counts as the first event of the response.
-func (i *Ingress) sendOnce(r *request, server *catalog.Server, lastEvent string) (*serverResponse, error) {
-	r.attempts++
-	r.lastServer = server.ID
-	r.scheduling.TriedServers = append(r.scheduling.TriedServers, server.ID)
+// formatRequest returns the bytes of the request for a server. The server is asked to resume the
+// stream after the last event that has arrived or, if there is none, after the one that the
+// caller's request names, if any.
+func (i *Ingress) formatRequest(r *request, server *catalog.Server) []byte {
 	remaining := time.Until(r.deadline)
 	body := r.ctx.Request.Body()
 	urgency := -1
@@ -218,9 +217,18 @@
 	head := make([]byte, 0, 1024+len(body))
 	head = i.dialect.AppendHead(head, &r.ctx.Request.Header, fuchsiarouter.UpstreamHeaders{
 		ServerID: server.ID, Workspace: r.workspace, Timeout: remaining, Urgency: urgency,
-		LastEventID: lastEvent, BodyLength: len(body),
+		LastEventID: r.position.lastEventID, BodyLength: len(body),
 	})
-	head = append(head, body...)
+	return append(head, body...)
+}
+
+// roundTrip sends the formatted request to a server and reads the head of the response. It returns
+// an error if there is no response. In either case, the attempt is active until releaseServer
+// is called. The arrival of the head counts as the first event of the response.
+func (i *Ingress) roundTrip(r *request, server *catalog.Server, text []byte, isHedge bool) (*serverResponse, error) {
+	r.attempts++
+	r.lastServer = server.ID
+	r.scheduling.TriedServers = append(r.scheduling.TriedServers, server.ID)
 	sentAt := time.Now()
 	ctx, cancel := context.WithCancel(r.callerCtx)
 	if r.scheduling.Model != "" {
@@ -229,10 +237,13 @@
 			defer timer.Stop()
 		}
 	}
-	r.activeAttempt = &activeAttempt{server: server.ID, cancel: cancel, resendable: r.route.IsIdempotent(), promptParts: r.PromptParts}
+	r.activeAttempt = &activeAttempt{
+		request: r, server: server.ID, cancel: cancel, resendable: r.route.IsIdempotent(), isHedge: isHedge,
+		position: r.position, promptParts: r.PromptParts,
+	}
 	i.stallDetector.add(sentAt, r.activeAttempt)
 	httpResponse, err := i.upstream.Send(ctx, exchange.Target{Address: server.Address, ID: server.ID, Incarnation: server.Started},
-		head, r.deadline, func(header *fasthttp.ResponseHeader) exchange.Match {
+		text, r.deadline, func(header *fasthttp.ResponseHeader) exchange.Match {
 			reply := i.dialect.ParseResponse(header, r.AttemptID)
 			i.recordAvailability(r, server, reply)
 			switch {
@@ -279,13 +290,21 @@
 // isSuccess reports whether an HTTP status is a success.
 func isSuccess(status int) bool { return status >= 200 && status < 300 }
 
-// handleFailedAttempt ends an attempt without a response that can be passed to the caller,
+// failedAttempt is an attempt that has ended without a response that can be passed to the caller.
+type failedAttempt struct {
+	// notRun is set if the server certainly did not run the request, cancelled if the caller
+	// has disconnected.
+	notRun, cancelled bool
+	// failure is the error to report to the caller if the request is not sent again.
+	failure *result.Error
+}
+
+// endFailedAttempt ends an attempt without a response that can be passed to the caller,
 // and releases its server. response is nil if there was none, and err says why. It counts
 // a possible run unless the request certainly did not run, marks a server that was replaced,
 // and starts the probe for a crash if the request was sent and there is no whole response,
-// unless the caller has disconnected or the deadline has passed. It returns the error to
-// report to the caller, or nil if the request is to be sent again.
-func (i *Ingress) handleFailedAttempt(r *request, server *catalog.Server, response *serverResponse, err error) *result.Error {
+// unless the caller has disconnected or the deadline has passed.
+func (i *Ingress) endFailedAttempt(r *request, server *catalog.Server, response *serverResponse, err error) failedAttempt {
 	outcome, failure := schedule.Failed, result.ServerLost.Error("the server gave no answer")
 	notRun := errors.Is(err, exchange.ErrNotSent)
 	status := 0
@@ -298,7 +317,7 @@
 			i.mu.Unlock()
 		}
 		// A short body is read so that the connection can be used again.
-		_, _ = response.http.ReadAll(maxDiscardedBytes)
+		_, _ = response.http.ReadAll(maxDiscardedBytes, nil)
 		response.http.Close()
 	}
 	switch {
@@ -325,19 +344,35 @@
 		zap.String("request-id", r.AttemptID), zap.String("server", server.ID), zap.Int("status", status),
 		zap.Bool("not-run", notRun), zap.Int("attempt", r.attempts), telemetry.Cause(err),
 	})
-	if outcome == schedule.Cancelled {
-		return failure
+	return failedAttempt{notRun: notRun, cancelled: outcome == schedule.Cancelled, failure: failure}
+}
+
+// handleFailedAttempt ends an attempt like endFailedAttempt and decides how the request goes on. It
+// returns the response of a hedge if there is one, or the error to report to the caller. It returns
+// neither if the request is to be sent again.
+func (i *Ingress) handleFailedAttempt(r *request, server *catalog.Server, response *serverResponse, err error) (*serverResponse, *result.Error) {
+	attempt := r.activeAttempt
+	var running *hedge
+	if r.callerCtx.Err() == nil {
+		running = i.stallDetector.takeHedge(attempt)
+	}
+	failed := i.endFailedAttempt(r, server, response, err)
+	if next := i.awaitHedge(r, attempt, running); next != nil {
+		return next, nil
+	}
+	if failed.cancelled {
+		return nil, failed.failure
 	}
 	if time.Until(r.deadline) < minTimeForAttempt {
 		if r.possibleRuns > 0 {
-			return result.Timeout.Error("no server answered in time")
+			return nil, result.Timeout.Error("no server answered in time")
 		}
-		return failure
+		return nil, failed.failure
 	}
-	if !i.allowResend(r, notRun, !errors.Is(err, exchange.ErrNotSent)) {
-		return r.withPossibleRun(failure)
+	if !i.allowResend(r, failed.notRun, !errors.Is(err, exchange.ErrNotSent)) {
+		return nil, r.withPossibleRun(failed.failure)
 	}
-	return nil
+	return nil, nil
 }
 
 // allowResend decides whether the request may be sent again after a failed attempt. notRun
@@ -345,13 +380,7 @@
 // to the server was made. If a connection was made, a resend is allowed only if the budget
 // of the service has one left, which allowResend takes.
 func (i *Ingress) allowResend(r *request, notRun, connected bool) bool {
-	if r.attempts >= maxSends {
-		return false
-	}
-	if !notRun && (!r.route.IsIdempotent() || r.possibleRuns >= r.route.MaxAttempts) {
-		return false
-	}
-	if notRun && r.possibleRuns > 0 && r.possibleRuns >= r.route.MaxAttempts {
+	if !r.canSendAgain(notRun) {
 		return false
 	}
 	if !connected {
@@ -364,18 +393,51 @@
 	return allowed
 }
 
+// canSendAgain reports whether the limits of the route and of this entry allow another attempt.
+// notRun states that the server of the last one certainly did not run the request.
+func (r *request) canSendAgain(notRun bool) bool {
+	switch {
+	case r.attempts >= maxSends:
+		return false
+	case notRun:
+		return r.possibleRuns == 0 || r.possibleRuns < r.route.MaxAttempts
+	}
+	return r.route.IsIdempotent() && r.possibleRuns < r.route.MaxAttempts
+}
+
 // handleInterruptedResponse ends an attempt whose response was cut off after its head was
-// read, and releases its server. Like handleFailedAttempt, it returns the error to report
-// to the caller, or nil if the request is to be sent again.
-func (i *Ingress) handleInterruptedResponse(r *request, response *serverResponse, err error) *result.Error {
+// read, and releases its server. It returns the same as handleFailedAttempt.
+func (i *Ingress) handleInterruptedResponse(r *request, response *serverResponse, err error) (*serverResponse, *result.Error) {
 	response.http.Close()
 	if r.callerCtx.Err() != nil {
 		i.releaseServer(r, response.server.ID, schedule.Cancelled)
-		return result.ServerLost.Error("the caller left during the answer")
+		return nil, result.ServerLost.Error("the caller left during the answer")
 	}
 	return i.handleFailedAttempt(r, response.server, nil, errors.Wrap(err, "read response"))
 }
 
+// replaceInterrupted ends an attempt like handleInterruptedResponse and returns the response of
+// another server, or the error to report to the caller.
+func (i *Ingress) replaceInterrupted(r *request, response *serverResponse, err error) (*serverResponse, *result.Error) {
+	next, failure := i.handleInterruptedResponse(r, response, err)
+	if next != nil || failure != nil {
+		return next, failure
+	}
+	return i.sendUntilDeliverable(r)
+}
+
+// bodyProgress returns a function that records the progress of the body of a response, given the
+// number of bytes read.
+func (i *Ingress) bodyProgress(r *request) func(total int) {
+	recorded := 0
+	return func(total int) {
+		if steps := total / progressBytes; steps > recorded {
+			recorded = steps
+			i.stallDetector.recordProgress(time.Now(), r.activeAttempt)
+		}
+	}
+}
+
 // copyResponseHead copies the status and the headers of a server's response, except those
 // that the dialect does not forward, to the response for the caller.
 func (i *Ingress) copyResponseHead(r *request, response *serverResponse) {
@@ -398,6 +460,7 @@
 // the server with the given ID, and how it ended.
 func (i *Ingress) releaseServer(r *request, server string, outcome schedule.Outcome) {
 	if r.activeAttempt != nil {
+		i.dropHedge(r.activeAttempt)
 		i.stallDetector.remove(r.activeAttempt)
 		r.activeAttempt.cancel()
 		r.activeAttempt = nil
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -77,6 +77,9 @@
 	attempts int
 	// queueTime is the total time for which the scheduler has queued the request.
 	queueTime time.Duration
+	// position is how far the stream of the response has arrived. While an attempt is active, its
+	// own position is ahead of it.
+	position streamPosition
 	// timeToFirstEvent is the time from the arrival of the request to the first event of a
 	// streamed response, 0 before it.
 	timeToFirstEvent time.Duration
@@ -97,6 +100,30 @@
 	finished bool
 }
 
+// streamPosition is how far the stream of a response has arrived.
+type streamPosition struct {
+	// lastEventID is the ID of the last event that has arrived whole from any server, or before
+	// it the one that the caller's request names. It is empty if there is none.
+	lastEventID string
+	// hasEvents is set if an event has arrived whole from any server, lastAt when the last did.
+	hasEvents bool
+	lastAt    time.Time
+}
+
+// isResumable reports whether another server can send the rest of the stream.
+func (p streamPosition) isResumable() bool { return !p.hasEvents || p.lastEventID != "" }
+
+// markResumed tells the scheduler that the caller has a part of the response, if that is so.
+func (r *request) markResumed() {
+	if !r.position.hasEvents {
+		return
+	}
+	r.scheduling.Resumed = true
+	if r.route.Patience > 0 {
+		r.scheduling.AbandonAt = r.position.lastAt.Add(r.route.Patience)
+	}
+}
+
 // serve handles a request of a caller.
 func (i *Ingress) serve(ctx *fasthttp.RequestCtx) {
 	i.inFlight.Add(1)
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -17,7 +17,8 @@
 	stallTimeout = 900 * time.Millisecond
 	// stallTimeoutBeforeResponse replaces stallTimeout for a server that has not begun a
 	// response to any of its requests of this entry: a fully loaded engine begins none for
-	// as long as a response takes, and may then load weights for 0.6 s.
+	// as long as a response takes, and may then load weights for 0.6 s. After this time, which
+	// is longer than the silence of a sound server, requests without a response are taken back.
 	stallTimeoutBeforeResponse = 2 * time.Second
 	// progressBytes is the number of bytes of an event that has not arrived whole which count as
 	// progress.
@@ -50,16 +51,31 @@
 
 // activeAttempt is a request in flight at a server.
 type activeAttempt struct {
+	// request is the one that was sent. Its fields change only while none of its attempts is
+	// tracked, except those that newHedge doesn't read.
+	request *request
 	// server is the ID of the server that the request was sent to.
 	server string
 	// cancel resets the connection, which cancels the request at the server and ends the
 	// attempt with an error.
 	cancel context.CancelFunc
-	// resendable is set if the request is idempotent, so that it may be cancelled when the
-	// server stalls and then be sent to another server.
+	// resendable is set if the request is idempotent, so that it may be sent to another server
+	// when this one stalls.
 	resendable bool
 	// responseBegun is set once a part of the response has arrived.
 	responseBegun bool
+	// position is how far the stream of the response has arrived.
+	position streamPosition
+	// isHedge is set while the attempt belongs to a hedge that has not replaced the first one.
+	isHedge bool
+	// hedge is the one that runs, or that has got a response which the request has not taken
+	// over yet; nil if there is none. The next one may begin at nextHedgeAt.
+	hedge       *hedge
+	nextHedgeAt time.Time
+	// hedgeServers are the servers that hedges of this attempt were sent to, hedgeRuns the
+	// number of those that may have run the request.
+	hedgeServers []string
+	hedgeRuns    int
 	// promptParts are the parts of the prompt of the request.
 	promptParts []string
 	// sound is set once the server has written an answer for a while or to its end, so that
@@ -87,6 +103,10 @@
 func (s *stallDetector) recordProgress(now time.Time, attempt *activeAttempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.recordProgressLocked(now, attempt)
+}
+
+func (s *stallDetector) recordProgressLocked(now time.Time, attempt *activeAttempt) {
 	attempt.responseBegun = true
 	if server := s.servers[attempt.server]; server != nil {
 		server.lastProgress = now
@@ -147,9 +167,11 @@
 	// in flight. The other stalled servers may only be fully loaded, so they are not
 	// reported to other entries.
 	confirmed []string
-	// resendable are the attempts at all stalled servers that may be cancelled and sent to
-	// another server.
-	resendable []*activeAttempt
+	// hedges are new hedges for attempts at stalled servers.
+	hedges []*hedge
+	// takenBack are the attempts that are to be cancelled, because their server has not begun
+	// a response for stallTimeoutBeforeResponse. Their requests may be sent to another server.
+	takenBack []*activeAttempt
 	// activeServers is the number of servers, stalled or not, that have requests of this
 	// entry.
 	activeServers int
@@ -173,20 +195,31 @@
 		if begun {
 			report.confirmed = append(report.confirmed, id)
 		}
-		report.resendable = append(report.resendable, server.resendableAttempts()...)
+		silent := now.Sub(server.lastProgress) >= stallTimeoutBeforeResponse
+		for attempt := range server.attempts {
+			if silent && attempt.resendable && !attempt.responseBegun && !attempt.request.scheduling.Resumed {
+				report.takenBack = append(report.takenBack, attempt)
+			} else if hedge := startHedge(now, attempt); hedge != nil {
+				report.hedges = append(report.hedges, hedge)
+			}
+		}
 	}
 	return report
 }
 
-// resendableAttempts returns the attempts at the server with the given ID that may be
-// cancelled and sent to another server.
-func (s *stallDetector) resendableAttempts(server string) []*activeAttempt {
+// hedgeServer returns new hedges for the attempts at the server with the given ID.
+func (s *stallDetector) hedgeServer(now time.Time, server string) []*hedge {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	var hedges []*hedge
 	if progress := s.servers[server]; progress != nil {
-		return progress.resendableAttempts()
+		for attempt := range progress.attempts {
+			if hedge := startHedge(now, attempt); hedge != nil {
+				hedges = append(hedges, hedge)
+			}
+		}
 	}
-	return nil
+	return hedges
 }
 
 // resetTimers restarts the stall timeouts of all servers, after this process itself was
@@ -210,24 +243,12 @@
 	return false
 }
 
-// resendableAttempts returns the attempts that may be cancelled and sent to another
-// server. The caller holds the lock of the detector.
-func (p *serverProgress) resendableAttempts() []*activeAttempt {
-	var attempts []*activeAttempt
-	for attempt := range p.attempts {
-		if attempt.resendable {
-			attempts = append(attempts, attempt)
-		}
-	}
-	return attempts
-}
-
-// checkStalls suspends the servers without progress and cancels their resendable
-// requests, so that these are sent to other servers. The stalled servers that have begun a
-// response are also reported to the other entries, unless the fault is probably in this
-// entry's own network: after this entry has cancelled its requests at a server, the server
-// looks idle to the other entries. If this process itself was paused since the last check,
-// checkStalls only restarts the stall timeouts.
+// checkStalls suspends the servers without progress and hedges their resendable requests.
+// Requests at servers that have not begun to respond for long are cancelled, so that they are
+// sent to other servers. The stalled servers that have begun a response are also reported to the
+// other entries, unless the fault is probably in this entry's own network: after this entry has
+// cancelled its requests at a server, the server looks idle to the other entries. If this process
+// itself was paused since the last check, checkStalls only restarts the stall timeouts.
 func (i *Ingress) checkStalls(now time.Time) {
 	paused := now.Sub(i.stallsCheckedAt) > ownPauseThreshold
 	i.stallsCheckedAt = now
@@ -236,7 +257,13 @@
 		return
 	}
 	report := i.stallDetector.findStalled(now)
-	i.suspendStalled(now, report.servers, report.resendable)
+	i.suspendStalled(now, report.servers, report.hedges)
+	for _, attempt := range report.takenBack {
+		attempt.cancel()
+	}
+	if len(report.takenBack) > 0 {
+		i.requestLog.write("requests taken back", []zap.Field{zap.Strings("servers", report.servers), zap.Int("taken-back", len(report.takenBack))})
+	}
 	if len(report.confirmed) == 0 || len(report.confirmed)*selfFaultDivisor > report.activeServers {
 		return
 	}
@@ -248,30 +275,30 @@
 	}
 }
 
-// suspendStalled makes the scheduler suspend the stalled servers and cancels the
-// resendable attempts there, each of which is then sent to another server.
-func (i *Ingress) suspendStalled(now time.Time, servers []string, resendable []*activeAttempt) {
+// suspendStalled makes the scheduler suspend the stalled servers and runs the hedges of the
+// attempts there.
+func (i *Ingress) suspendStalled(now time.Time, servers []string, hedges []*hedge) {
 	i.mu.Lock()
 	for _, server := range servers {
 		i.scheduler.SuspendStalled(now, server)
 	}
 	i.mu.Unlock()
-	for _, attempt := range resendable {
-		attempt.cancel()
+	for _, hedge := range hedges {
+		i.background.Go(func() { i.runHedge(hedge) })
 	}
-	if len(resendable) > 0 {
-		i.requestLog.write("servers stalled", []zap.Field{zap.Strings("servers", servers), zap.Int("taken-back", len(resendable))})
+	if len(hedges) > 0 {
+		i.requestLog.write("servers stalled", []zap.Field{zap.Strings("servers", servers), zap.Int("hedged", len(hedges))})
 	}
 }
 
-// applyPeerStalls suspends the servers that another entry reports as stalled, and cancels
-// the resendable attempts of this entry there.
+// applyPeerStalls suspends the servers that another entry reports as stalled, and hedges the
+// resendable attempts of this entry there.
 func (i *Ingress) applyPeerStalls(now time.Time, servers []string) {
-	var resendable []*activeAttempt
+	var hedges []*hedge
 	for _, server := range servers {
-		resendable = append(resendable, i.stallDetector.resendableAttempts(server)...)
+		hedges = append(hedges, i.stallDetector.hedgeServer(now, server)...)
 	}
 	if len(servers) > 0 {
-		i.suspendStalled(now, servers, resendable)
+		i.suspendStalled(now, servers, hedges)
 	}
 }
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -66,10 +66,9 @@
 	// brokenOff is the error that ended the current server's response after the complete bytes
 	// in the buffer, which are passed to the caller first.
 	brokenOff error
-	// lastEventID is the ID of the last event that has arrived whole, empty if there is none or
-	// the events have no IDs. All such events are passed to the caller before the stream is
-	// resumed.
-	lastEventID string
+	// position is how far the stream has arrived. All whole events are passed to the caller
+	// before the stream is resumed.
+	position streamPosition
 	// hasEvent is set once a whole event of the current server's response has arrived.
 	hasEvent bool
 	// hasMore is set when a lost server had begun an event after the last one that arrived whole.
@@ -78,10 +77,8 @@
 	atEOF bool
 	// finished is set once the server is released and the end of the request recorded.
 	finished bool
-	// firstEventAt is the time at which the first event was read, lastReadAt the time at
-	// which events were last passed to the caller.
+	// firstEventAt is the time at which the first event was read.
 	firstEventAt time.Time
-	lastReadAt   time.Time
 	// answerBegan is the time at which the first event of the current server was read.
 	answerBegan time.Time
 }
@@ -91,8 +88,9 @@
 // sets the stream as the response, which the HTTP server reads, or returns the error to
 // report to the caller.
 func (i *Ingress) runStream(r *request) *result.Error {
-	e := &eventStream{ingress: i, request: r, lastEventID: r.LastEventID}
-	response, failure := i.sendUntilDeliverable(r, "")
+	r.position.lastEventID = r.LastEventID
+	e := &eventStream{ingress: i, request: r, position: r.position}
+	response, failure := i.sendUntilDeliverable(r)
 	if failure != nil {
 		return failure
 	}
@@ -102,11 +100,8 @@
 		if err == nil {
 			continue
 		}
-		if failure = i.handleInterruptedResponse(r, e.response, err); failure != nil {
-			return failure
-		}
 		e.discardPartialEvent()
-		if e.response, failure = i.sendUntilDeliverable(r, ""); failure != nil {
+		if e.response, failure = i.replaceInterrupted(r, e.response, err); failure != nil {
 			return failure
 		}
 	}
@@ -140,28 +135,30 @@
 	}
 	before := len(e.buffered) - e.completeBytes
 	n, err := e.response.http.Read(e.buffered[len(e.buffered):cap(e.buffered)])
-	e.buffered = e.buffered[:len(e.buffered)+n]
-	complete := e.completeBytes
+	buffered, complete, position := e.buffered[:len(e.buffered)+n], e.completeBytes, e.position
 	// The separator may begin in the bytes of the previous read.
-	searchFrom := max(len(e.buffered)-n-maxSeparatorBytes+1, e.completeBytes)
+	searchFrom := max(len(buffered)-n-maxSeparatorBytes+1, complete)
 	secondResponse := false
-	if at := responseLine(e.buffered, max(len(e.buffered)-n-len(responseLinePrefix)+1, e.completeBytes)); at >= 0 && isEventStream(e.response.http.Header) {
-		e.buffered, secondResponse = e.buffered[:at], true
+	if at := responseLine(buffered, max(len(buffered)-n-len(responseLinePrefix)+1, complete)); at >= 0 && isEventStream(e.response.http.Header) {
+		buffered, secondResponse = buffered[:at], true
 	}
-	if end := lastEventEnd(e.buffered[min(searchFrom, len(e.buffered)):]); end > 0 {
-		e.completeBytes, e.hasEvent = searchFrom+end, true
-		if id, found := lastEventID(e.buffered[complete:e.completeBytes]); found {
-			e.lastEventID = id
+	if end := lastEventEnd(buffered[min(searchFrom, len(buffered)):]); end > 0 {
+		complete = searchFrom + end
+		position.hasEvents, position.lastAt = true, time.Now()
+		if id, found := lastEventID(buffered[e.completeBytes:complete]); found {
+			position.lastEventID = id
 		}
 	}
-	if secondResponse {
-		return errSecondResponse
-	}
 	// A server that sends an event byte by byte makes no progress, one that sends a long event
 	// over a slow link does.
-	isProgress := before == 0 || e.completeBytes > complete || (before+n)/progressBytes > before/progressBytes
-	if n > 0 && isProgress && e.request.activeAttempt != nil {
-		e.ingress.stallDetector.recordProgress(time.Now(), e.request.activeAttempt)
+	isProgress := before == 0 || complete > e.completeBytes || (before+n)/progressBytes > before/progressBytes
+	if n > 0 && isProgress && !e.ingress.advance(time.Now(), e.request.activeAttempt, position) {
+		return errReplaced
+	}
+	e.hasEvent = e.hasEvent || complete > e.completeBytes
+	e.buffered, e.completeBytes, e.position = buffered, complete, position
+	if secondResponse {
+		return errSecondResponse
 	}
 	if errors.Is(err, io.EOF) {
 		e.request.partialEventBytes = e.partialEventBytes()
@@ -187,7 +184,7 @@
 	if e.hasEvent || !isEventStream(e.response.http.Header) {
 		return false
 	}
-	return e.hasMore || e.lastEventID == "" && e.response.http.Framing() == exchange.FramingClose
+	return e.hasMore || e.position.lastEventID == "" && e.response.http.Framing() == exchange.FramingClose
 }
 
 // discardPartialEvent prepares for the response of the next server after the current one was lost.
@@ -258,7 +255,6 @@
 		e.ingress.recordSound(e.request)
 	}
 	n := copy(buffer, e.buffered[:e.completeBytes])
-	e.lastReadAt = time.Now()
 	remaining := copy(e.buffered, e.buffered[n:])
 	e.buffered, e.completeBytes = e.buffered[:remaining], e.completeBytes-n
 	return n, nil
@@ -282,19 +278,17 @@
 // error, which cuts the response to the caller.
 func (e *eventStream) resume(cause error) error {
 	r := e.request
-	failure := e.ingress.handleInterruptedResponse(r, e.response, cause)
-	e.response = nil
-	if failure == nil && (!r.route.Resumable || e.lastEventID == "") {
+	next, failure := e.ingress.handleInterruptedResponse(r, e.response, cause)
+	e.response = next
+	if failure == nil && (!r.route.Resumable || e.position.lastEventID == "") {
 		failure = result.StreamCut.Error("the stream broke off and cannot be resumed")
 	}
 	if failure == nil {
 		e.discardPartialEvent()
 		e.answerBegan = time.Time{}
-		r.scheduling.Resumed = true
-		if r.route.Patience > 0 {
-			r.scheduling.AbandonAt = e.lastReadAt.Add(r.route.Patience)
+		if next == nil {
+			e.response, failure = e.ingress.sendUntilDeliverable(r)
 		}
-		e.response, failure = e.ingress.sendUntilDeliverable(r, e.lastEventID)
 	}
 	if failure == nil && !isEventStream(e.response.http.Header) {
 		e.response.http.Close()
--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -17,8 +17,14 @@
 	"github.com/fuchsiarouter/fuchsiarouter/standin/keyedstore"
 )
 
-// closeMark at the end of a reply closes the connection after the bytes before it.
-const closeMark = "CLOSE"
+const (
+	// closeMark at the end of a reply closes the connection after the bytes before it.
+	closeMark = "CLOSE"
+	// silenceMark in a reply stands for a silence of the server.
+	silenceMark = "SILENCE"
+	// silence is the duration of a silence, after which a sound server goes on.
+	silence = 1200 * time.Millisecond
+)
 
 // scriptedServer is a backend server whose replies are written byte for byte, for responses
 // that no HTTP library produces.
@@ -67,7 +73,15 @@
 		request.RemoteAddr = conn.RemoteAddr().String()
 		s.runs.Add(1)
 		text, closeConn := strings.CutSuffix(s.reply(request), closeMark)
-		if _, err := io.WriteString(conn, text); err != nil || closeConn {
+		for index, part := range strings.Split(text, silenceMark) {
+			if index > 0 {
+				time.Sleep(silence)
+			}
+			if _, err := io.WriteString(conn, part); err != nil {
+				return
+			}
+		}
+		if closeConn {
 			return
 		}
 	}
