--- a/standin/keyedstore/keyedstore.go
+++ b/standin/keyedstore/keyedstore.go
@@ -22,6 +22,8 @@
 	TopicOperator = "keyed.op"
 	// TopicServers holds the registrations of backend servers.
 	TopicServers = "keyed.servers"
+	// TopicEntries holds the registrations of entries.
+	TopicEntries = "keyed.status"
 )
 
 // pollInterval is the interval at which a read that waits checks for new records.
--- a/standin/platformtest/endless_test.go
+++ b/standin/platformtest/endless_test.go
@@ -34,12 +34,21 @@
 
 // newEndlessServer starts a server and registers it for a service.
 func (f *testFleet) newEndlessServer(index int, service, prefix, repeated string, interval time.Duration) *endlessServer {
+	s := startEndlessServer(f.t, index, prefix, repeated, interval)
+	f.store.Put(keyedstore.TopicServers, s.id, fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"models":[{"name":"m","version":1}]}`,
+		service, s.listener.Addr().String()))
+	return s
+}
+
+// startEndlessServer starts a server that is not registered.
+func startEndlessServer(t *testing.T, index int, prefix, repeated string, interval time.Duration) *endlessServer {
 	// The ingresses of earlier tests still poll the addresses of their stores, so a port that
 	// the kernel gives out again would receive their reads.
 	listener, err := net.Listen("tcp", allocateAddress())
-	gomega.NewWithT(f.t).Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	s := &endlessServer{id: fmt.Sprint("endless-", index), listener: listener, prefix: prefix, repeated: repeated, interval: interval}
-	f.t.Cleanup(func() { _ = listener.Close() })
+	t.Cleanup(func() { _ = listener.Close() })
 	go func() {
 		for {
 			conn, err := listener.Accept()
@@ -49,9 +58,6 @@
 			go s.serve(conn)
 		}
 	}()
-	f.store.Put(keyedstore.TopicServers, s.id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"models":[{"name":"m","version":1}]}`,
-		service, listener.Addr().String()))
 	return s
 }
 
--- /dev/null
+++ b/standin/platformtest/odd_records_test.go
@@ -0,0 +1,190 @@
+package platformtest_test
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/loader"
+	"github.com/fuchsiarouter/fuchsiarouter/platform"
+	"github.com/fuchsiarouter/fuchsiarouter/standin/keyedstore"
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
+)
+
+// oddRegistration is a registration in which %s stands for a field with an odd value. A field that
+// occurs twice has its last value.
+const oddRegistration = `{"service":"llm","address":"127.0.0.1:9","zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,` +
+	`"seq":1,"models":[{"name":"m","version":1}],%s}`
+
+// oddValues are records, by key, that another writer may have left in a topic.
+func oddValues() map[string]string {
+	values := map[string]string{
+		"nested-list":   strings.Repeat("[", 200_000),
+		"nested-object": strings.Repeat(`{"a":`, 200_000),
+		"nested-field":  fmt.Sprintf(oddRegistration, `"models":`+strings.Repeat("[", 200_000)+strings.Repeat("]", 200_000)),
+		"nested-other":  fmt.Sprintf(oddRegistration, `"other":`+strings.Repeat("[", 9_000)+strings.Repeat("]", 9_000)),
+		"no-json":       "\x00\xff\xfe",
+		"null":          "null",
+		"number":        "1e400",
+		"text":          `"ready"`,
+		"empty-object":  "{}",
+		"many-models":   fmt.Sprintf(oddRegistration, `"models":[`+strings.Repeat(`{"name":"m","version":1},`, 5_000)+`{}]`),
+		"":              "{}",
+	}
+	numbers := []string{"1e400", "-1e400", "1e19", "9223372036854775807", "-9223372036854775808", "18446744073709551616", "-1", "0", "0.5", strings.Repeat("9", 5_000), `"4"`, "null", "[]", "{}", "true"}
+	for index, number := range numbers {
+		for _, field := range []string{"slots", "coldRemainingMs", "seq", "born"} {
+			values[fmt.Sprint(field, "-", index)] = fmt.Sprintf(oddRegistration, fmt.Sprintf("%q:%s", field, number))
+		}
+		values[fmt.Sprint("model-version-", index)] = fmt.Sprintf(oddRegistration, `"models":[{"name":"m","version":`+number+`}]`)
+		values[fmt.Sprint("layers-", index)] = fmt.Sprintf(oddRegistration, `"models":[{"name":"m","version":1,"layers":[{"from":`+number+`,"target":`+number+`,"version":1}]}]`)
+	}
+	for index, address := range []string{
+		`"127.0.0.1:99999"`, `"127.0.0.1:-1"`, `"127.0.0.1:0"`, `"127.0.0.1"`, `":80"`, `"[::1]:80"`, `"[fe80::1%eth0]:80"`, `"256.0.0.1:80"`,
+		`"host.example:80"`, `"127.0.0.1:99999999999999999999"`, `"0.0.0.0:1"`, `"255.255.255.255:1"`, `"127.0.0.1:80:80"`, `""`, "80", "null",
+	} {
+		values[fmt.Sprint("address-", index)] = fmt.Sprintf(oddRegistration, `"address":`+address)
+	}
+	return values
+}
+
+// TestOddRegistrations guards against an entry that ends, or that does not follow the registered
+// servers any more, since another writer has left odd records among them.
+func TestOddRegistrations(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	for key, value := range oddValues() {
+		f.store.Put(keyedstore.TopicServers, key, value)
+	}
+	added := f.newScriptedServer("added", "llm", whole)
+	awaitRegistrations()
+	f.removeServers(f.llmServers)
+	g.Eventually(func() int32 {
+		status, _, _, err := f.send("POST", "/llm/x", "k1", "")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).NotTo(gomega.Equal(http.StatusBadGateway))
+		return added.runs.Load()
+	}, waitTimeout).Should(gomega.BeNumerically(">", 3))
+	// An entry that starts reads all records at once.
+	address := allocateAddress()
+	f.newIngress("second", address, allocateAddress(), allocateAddress())
+	g.Eventually(func() bool { return f.sendPrompt(t.Context(), address, "a") }, waitTimeout).Should(gomega.BeTrue())
+}
+
+// stagedEngine is an in-memory model engine that loads at once.
+type stagedEngine struct {
+	mu      sync.Mutex
+	staged  map[int][]byte
+	version int
+	orders  int64
+}
+
+func (e *stagedEngine) Report() (fuchsiarouter.EngineReport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return fuchsiarouter.EngineReport{StartedAt: 1, LoadedVersions: map[string]int{"m": e.version}, AcceptedOrders: e.orders}, nil
+}
+
+func (e *stagedEngine) StagedPieces(string) ([]int, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var held []int
+	for piece := range e.staged {
+		held = append(held, piece)
+	}
+	return held, nil
+}
+
+func (e *stagedEngine) ReadStagedPiece(_ string, piece int) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.staged[piece], nil
+}
+
+func (e *stagedEngine) StagePiece(_ string, piece int, content []byte) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.staged[piece] = content
+	return nil
+}
+
+func (e *stagedEngine) StartLoad(_ string, version int, _ int64) (fuchsiarouter.OrderResult, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.version, e.orders = version, e.orders+1
+	return fuchsiarouter.OrderStarted, nil
+}
+
+// loadedVersion returns the version that the engine holds.
+func (e *stagedEngine) loadedVersion() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.version
+}
+
+// pieceOrigin is an in-memory origin of a model of one piece.
+type pieceOrigin struct{}
+
+func (pieceOrigin) Manifest(_, model string, version int) (fuchsiarouter.PieceManifest, error) {
+	sum := sha256.Sum256([]byte(fmt.Sprint(version)))
+	return fuchsiarouter.PieceManifest{Model: model, Version: version, Digests: []string{hex.EncodeToString(sum[:])}}, nil
+}
+
+func (pieceOrigin) Piece(_, _ string, version, _ int) ([]byte, error) {
+	return []byte(fmt.Sprint(version)), nil
+}
+
+// TestLoaderReadsOddRecords guards against a loader that ends, or that does not follow the declared
+// versions any more, since another writer has left odd records in a topic.
+func TestLoaderReadsOddRecords(t *testing.T) {
+	for _, topic := range []string{keyedstore.TopicServers, keyedstore.TopicOperator, keyedstore.TopicEntries} {
+		t.Run(topic, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			store, err := keyedstore.New(allocateAddress())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(store.Close)
+			putOdd := func() {
+				for key, value := range oddValues() {
+					if topic != keyedstore.TopicServers {
+						// The values concern the keys that the loader knows, which get valid ones afterwards.
+						for _, known := range []string{"config", "version/m", "entry." + key} {
+							store.Put(topic, known, value)
+						}
+					}
+					store.Put(topic, key, value)
+				}
+			}
+			declare := func(version int) {
+				store.Put(keyedstore.TopicOperator, "config", fmt.Sprintf(`{"version":%d,"routes":[],"services":[`+
+					`{"name":"llm","engine":{"slots":4,"chunks":1,"chunkBytes":1,"models":[{"name":"m"}]}},{"name":"o","origin":"127.0.0.1:5","zone":"z"}]}`, version))
+				store.Put(keyedstore.TopicOperator, "version/m", fmt.Sprintf(`{"model":"m","version":%d}`, version))
+			}
+			putOdd()
+			declare(1)
+			pieceAddress := allocateAddress()
+			ip, _, err := net.SplitHostPort(pieceAddress)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			store.Put(keyedstore.TopicServers, "own", strings.Replace(fmt.Sprintf(oddRegistration, `"models":[]`), "127.0.0.1:9", ip+":9", 1))
+			engine := &stagedEngine{staged: map[int][]byte{}}
+			daemon, err := loader.New(loader.Settings{
+				Name: "l", IP: ip, AvailabilityZone: "z", Region: "r", EngineAddress: ip + ":9", Service: "llm", LinkBandwidth: 1 << 20,
+				PieceAddress: pieceAddress, PeerPort: 1,
+			}, platform.NewRegistry(store.Address()), engine, pieceOrigin{}, zap.NewNop(), telemetry.NewMetrics("loader"))
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(func() { daemon.Drain() })
+			g.Eventually(engine.loadedVersion, waitTimeout).Should(gomega.Equal(1))
+			putOdd()
+			declare(2)
+			g.Eventually(engine.loadedVersion, waitTimeout).Should(gomega.Equal(2))
+		})
+	}
+}
