upstream: bound the response to a health check

Cause: the report of endless bytes, on the path of the standalone product. A health check read whatever the address sent for up to a second. Other readers of the product are bounded (heads, events, buffered answers, messages). Change: 64 KiB a response; a longer one is none.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -31,6 +31,8 @@
 	// refusalProbeTimeout bounds the connection attempt that checks whether a process has
 	// ended.
 	refusalProbeTimeout = 200 * time.Millisecond
+	// maxHealthResponseBytes bounds the body of a response to a health check.
+	maxHealthResponseBytes = 64 << 10
 	// idleTimeout is the time after which an idle connection is closed. It is shorter than
 	// the idle timeout of the servers, so that no request is sent on a connection that the
 	// remote side is about to close.
@@ -176,7 +178,8 @@
 
 // CheckHealth sends a health check to the address on a new connection and reports whether a
 // response arrives within the timeout. The status of the response does not matter: a
-// process that responds is neither frozen nor cut off.
+// process that responds is neither frozen nor cut off. A response of more than
+// maxHealthResponseBytes is none.
 func (c *Client) CheckHealth(address string, timeout time.Duration) bool {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
@@ -184,7 +187,7 @@
 	request.SetRequestURI("http://" + address + "/healthz")
 	request.SetConnectionClose()
 	client := fasthttp.HostClient{
-		Addr: address, MaxIdemponentCallAttempts: 1,
+		Addr: address, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxHealthResponseBytes,
 		Dial: func(address string) (net.Conn, error) { return c.dialer.DialTimeout(address, timeout) },
 	}
 	return client.DoTimeout(request, response, timeout) == nil
