ingress: answer every request before a planned stop ends the process

Cause here: a stopping entry accepts requests for up to 3 s whatever time they may take, and when the grace is over the process ends with the rest in progress. Ruled out: requests that arrive after the 3 s, which are refused; the standalone entry, which refuses new requests at once and waits for the others. Change: while an entry stops, a request that must not be repeated and whose deadline is after the end of the grace is refused (2006 leaving), at its arrival or when it leaves the queue. 0.9 s before the end of the grace, as before, the rest is ended, but with an answer: 503 for those still queued, 502 for those at a server. Only a stream that has begun is cut.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -122,8 +122,13 @@
 		if failure != nil {
 			return nil, failure
 		}
-		// What crashes servers may have been found since the request arrived.
-		if failure := i.checkCrashes(r); failure != nil {
+		// What crashes servers may have been found, or this entry asked to stop, since the
+		// request arrived.
+		failure = i.checkCrashes(r)
+		if failure == nil {
+			failure = i.checkStop(r)
+		}
+		if failure != nil {
 			i.releaseServer(r, server.ID, schedule.Cancelled)
 			return nil, r.withPossibleRun(failure)
 		}
@@ -163,7 +168,7 @@
 					i.releaseServer(r, decision.Server, schedule.Cancelled)
 				}
 			}
-			return nil, r.withPossibleRun(result.CallerLeft.Error("the caller left while its request waited"))
+			return nil, r.withPossibleRun(r.cancelledWhileQueued())
 		}
 		r.queueTime += time.Since(submittedAt)
 		i.mu.Lock()
@@ -180,6 +185,22 @@
 	return server, nil
 }
 
+// cancelledWhileQueued returns the error for a request whose callerCtx has ended in the queue.
+func (r *request) cancelledWhileQueued() *result.Error {
+	if errors.Is(context.Cause(r.callerCtx), errStopped) {
+		return leavingError()
+	}
+	return result.CallerLeft.Error("the caller left while its request waited")
+}
+
+// cancelledAtServer returns the error for a request whose callerCtx has ended while a server had it.
+func (r *request) cancelledAtServer() *result.Error {
+	if errors.Is(context.Cause(r.callerCtx), errStopped) {
+		return result.ServerLost.Error("the entry stopped before the server answered")
+	}
+	return result.ServerLost.Error("the caller left while a server had its request")
+}
+
 // refusalError returns the error for a request that the scheduler refused.
 func refusalError(decision schedule.Decision) *result.Error {
 	code := result.QueueFull
@@ -322,7 +343,7 @@
 	}
 	switch {
 	case r.callerCtx.Err() != nil:
-		outcome, failure = schedule.Cancelled, result.ServerLost.Error("the caller left while a server had its request")
+		outcome, failure = schedule.Cancelled, r.cancelledAtServer()
 	case notRun:
 		outcome = schedule.Refused
 		failure = &result.Error{Code: result.QueueFull, Message: "the server refused the request", RetryAfter: notReadyRetryAfter}
@@ -411,7 +432,7 @@
 	response.http.Close()
 	if r.callerCtx.Err() != nil {
 		i.releaseServer(r, response.server.ID, schedule.Cancelled)
-		return nil, result.ServerLost.Error("the caller left during the answer")
+		return nil, r.cancelledAtServer()
 	}
 	return i.handleFailedAttempt(r, response.server, nil, errors.Wrap(err, "read response"))
 }
--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -4,8 +4,10 @@
 	"context"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
+	"github.com/fuchsiarouter/fuchsiarouter/result"
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
 
@@ -17,35 +19,69 @@
 	maxDrainAccept   = 3 * time.Second
 	drainAcceptShare = 0.37
 	// drainMargin is the time before the end of the grace period, when the process is
-	// killed, by which draining ends even if requests are still in progress.
+	// killed, at which requests still in progress are ended with an error.
 	drainMargin = 900 * time.Millisecond
+	// drainAnswerTime bounds the time for writing these errors to the callers.
+	drainAnswerTime = 300 * time.Millisecond
 	// drainPollInterval is the interval at which the number of requests in progress is
 	// checked.
 	drainPollInterval = 50 * time.Millisecond
 )
 
+// errStopped is the cause for which requests are cancelled that would outlast the grace period.
+var errStopped = errors.New("the entry stopped")
+
 // Drain stops the daemon within the grace period. The other entries and, through the
 // directory, the callers learn immediately that the daemon is draining. New requests are
-// still accepted for a while, and requests in progress run to their end. Drain reports
-// whether all of them ended.
+// still accepted for a while, unless they can outlast the grace period and must not be repeated.
+// Requests in progress run to their end. Those that have not ended shortly before that of the
+// grace period are answered with an error; a stream that has begun is cut. Drain reports whether
+// all ended before.
 func (i *Ingress) Drain() bool {
 	startedAt := time.Now()
+	end := startedAt.Add(i.settings.StopGrace - drainMargin)
+	i.drainEnd.Store(&end)
 	i.draining.Store(true)
 	i.log.Info("leaving", zap.Int64("in-progress", i.inFlight.Load()))
 	i.reportUrgently(startedAt, nil)
 	accept := min(maxDrainAccept, time.Duration(float64(i.settings.StopGrace)*drainAcceptShare))
 	time.Sleep(accept)
 	i.rejecting.Store(true)
-	end := startedAt.Add(i.settings.StopGrace - drainMargin)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := i.callerServer.ShutdownWithContext(ctx); err != nil {
 		i.log.Warn("grace period ended with requests in progress", zap.Int64("in-progress", i.inFlight.Load()), telemetry.Cause(err))
 	}
-	for i.inFlight.Load() > 0 && time.Now().Before(end) {
+	i.awaitRequests(end)
+	completed := i.inFlight.Load() <= 0
+	if !completed {
+		i.endLifetime(errStopped)
+		i.awaitRequests(time.Now().Add(drainAnswerTime))
+		// A request has ended when its response is set. It is written after that.
 		time.Sleep(drainPollInterval)
 	}
-	completed := i.inFlight.Load() <= 0
 	close(i.stop)
 	return completed
 }
+
+// awaitRequests waits until no request is in progress, but at most until the end.
+func (i *Ingress) awaitRequests(end time.Time) {
+	for i.inFlight.Load() > 0 && time.Now().Before(end) {
+		time.Sleep(drainPollInterval)
+	}
+}
+
+// checkStop returns the error for a request that must not be sent to a server, since this entry
+// stops: the request could outlast the grace period, and nobody may repeat it.
+func (i *Ingress) checkStop(r *request) *result.Error {
+	end := i.drainEnd.Load()
+	if end == nil || r.route.IsIdempotent() || r.deadline.Before(*end) {
+		return nil
+	}
+	return leavingError()
+}
+
+// leavingError returns the error for a request that this entry does not serve since it stops.
+func leavingError() *result.Error {
+	return &result.Error{Code: result.Leaving, Message: "the entry is leaving", RetryAfter: drainingRetryAfter}
+}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -61,7 +61,7 @@
 	// sends the request again.
 	fingerprint string
 
-	// callerCtx is cancelled when the caller disconnects.
+	// callerCtx is cancelled when the caller disconnects, or with the cause errStopped.
 	callerCtx       context.Context
 	cancelCallerCtx context.CancelFunc
 	callerWatch     *caller.Watch
@@ -133,7 +133,7 @@
 	}
 	failure := i.admit(r)
 	if failure == nil {
-		r.callerCtx, r.cancelCallerCtx = context.WithCancel(context.Background())
+		r.callerCtx, r.cancelCallerCtx = context.WithCancel(i.lifetime)
 		r.callerWatch = caller.New(ctx.Conn(), callerWatchDelay)
 		r.callerWatch.OnClose(r.cancelCallerCtx)
 		failure = i.forward(r)
@@ -165,7 +165,7 @@
 		return failure
 	}
 	if i.rejecting.Load() {
-		return &result.Error{Code: result.Leaving, Message: "the entry is leaving", RetryAfter: drainingRetryAfter}
+		return leavingError()
 	}
 	view := i.mirror.View()
 	r.configurationAge = i.mirror.OperatorAge()
@@ -217,7 +217,7 @@
 	}
 	r.deadline = r.received.Add(timeout)
 	r.service = r.route.ServiceFor(r.AttemptID)
-	return nil
+	return i.checkStop(r)
 }
 
 // notReady returns the error for a request that this entry cannot serve now, but another
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -19,6 +19,7 @@
 package ingress
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -187,6 +188,12 @@
 	// requests are refused.
 	draining  atomic.Bool
 	rejecting atomic.Bool
+	// drainEnd is the time at which the requests in progress are ended, nil unless the daemon
+	// drains.
+	drainEnd atomic.Pointer[time.Time]
+	// lifetime is the context of all requests. endLifetime ends it.
+	lifetime    context.Context
+	endLifetime context.CancelCauseFunc
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
@@ -219,6 +226,7 @@
 		declaredVersions: map[string][]catalog.DeclaredVersion{}, peerHTTP: relay.NewHTTPClient(), startedUnixMs: time.Now().UnixMilli(),
 		stop: make(chan struct{}), rosterRead: make(chan struct{}), rosterWaitOver: make(chan struct{}),
 	}
+	i.lifetime, i.endLifetime = context.WithCancelCause(context.Background())
 	time.AfterFunc(rosterWait, func() { close(i.rosterWaitOver) })
 	i.roster = roster.New(i.selfEntry())
 	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{RelayWait: relayPollWait}, log, i.applyView)
--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -33,8 +33,8 @@
 // configurationFormat is the platform's configuration. Its formatting verbs stand for the
 // version of the configuration and the API keys of workspace w, quoted and separated by
 // commas. The routes are /llm/ for streams that can be resumed, /once/ for streams that can't,
-// /book/ for non-repeatable requests, /stock/ for repeatable ones and /report/ for repeatable ones
-// with more time.
+// /book/ for non-repeatable requests, /stock/ for repeatable ones, and /order/ and /report/ for
+// those with more time.
 const configurationFormat = `{"version":%d,"routes":[
  {"name":"draft","host":"h.example","pathPrefix":"/llm/","kind":"stream","timeoutMs":5000,"targetLatencyMs":1000,"priority":1,
   "service":"llm","maxAttempts":2,"sticky":true,"resumable":true},
@@ -42,6 +42,7 @@
   "service":"llm","maxAttempts":2,"sticky":true},
  {"name":"booking","host":"h.example","pathPrefix":"/book/","kind":"unsafe","timeoutMs":1000,"service":"plain","maxAttempts":1},
  {"name":"stock","host":"h.example","pathPrefix":"/stock/","kind":"safe","timeoutMs":1000,"service":"plain","maxAttempts":2},
+ {"name":"order","host":"h.example","pathPrefix":"/order/","kind":"unsafe","timeoutMs":5000,"service":"plain","maxAttempts":1},
  {"name":"report","host":"h.example","pathPrefix":"/report/","kind":"safe","timeoutMs":5000,"service":"plain","maxAttempts":2}],
  "services":[{"name":"plain"},{"name":"llm","engine":{"slots":4,"models":[{"name":"m"}]}}],
  "limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000,"idleTimeoutMs":15000},
