platformtest: odd records in the topics that an entry reads

Cause: the test of the entry had odd records among the servers only. Change: the topics of operators and of entries too, and nine odd registrations of entries. The test is now TestEntryReadsOddRecords.

--- a/standin/platformtest/odd_records_test.go
+++ b/standin/platformtest/odd_records_test.go
@@ -54,30 +54,54 @@
 	} {
 		values[fmt.Sprint("address-", index)] = fmt.Sprintf(oddRegistration, `"address":`+address)
 	}
+	for index, field := range []string{
+		`"peers":"127.0.0.1:99999"`, `"peers":"127.0.0.1:-1"`, `"peers":"nowhere"`, `"peers":"127.0.0.1:1","callers":":"`, `"peers":80`,
+		`"peers":"127.0.0.1:1","link":1e308,"cores":1e308`, `"peers":"127.0.0.1:1","link":1e400`, `"peers":"127.0.0.1:1","started":1e19`,
+		`"peers":"127.0.0.1:1","started":9223372036854775807,"link":-1,"cores":-1`,
+	} {
+		values[fmt.Sprint("entry-", index)] = `{"name":"odd","availability-zone":"z","region":"r",` + field + `}`
+	}
 	return values
 }
 
-// TestOddRegistrations guards against an entry that ends, or that does not follow the registered
-// servers any more, since another writer has left odd records among them.
-func TestOddRegistrations(t *testing.T) {
-	g := gomega.NewWithT(t)
-	f := startFleet(t)
+// putOddRecords puts the odd records into a topic, also under the keys that daemons know.
+func putOddRecords(store *keyedstore.Store, topic string) {
 	for key, value := range oddValues() {
-		f.store.Put(keyedstore.TopicServers, key, value)
+		store.Put(topic, key, value)
+		if topic != keyedstore.TopicServers {
+			for _, known := range []string{"config", "version/m", "entry." + key} {
+				store.Put(topic, known, value)
+			}
+		}
+	}
+}
+
+// TestEntryReadsOddRecords guards against an entry that ends, or that does not follow the servers and
+// the configuration any more, since another writer has left odd records in a topic.
+func TestEntryReadsOddRecords(t *testing.T) {
+	for _, topic := range []string{keyedstore.TopicServers, keyedstore.TopicOperator, keyedstore.TopicEntries} {
+		t.Run(topic, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			f := startFleet(t)
+			putOddRecords(f.store, topic)
+			f.publishConfiguration(2, "k3")
+			added := f.newScriptedServer("added", "llm", whole)
+			awaitRegistrations()
+			f.removeServers(f.llmServers)
+			g.Eventually(func() int32 {
+				status, _, _, err := f.send("POST", "/llm/x", "k3", "")
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				g.Expect(status).NotTo(gomega.Equal(http.StatusBadGateway))
+				return added.runs.Load()
+			}, waitTimeout).Should(gomega.BeNumerically(">", 3))
+			f.publishConfiguration(3, "k1")
+			// An entry that starts reads all records at once.
+			address := allocateAddress()
+			f.newIngress("second", address, allocateAddress(), allocateAddress())
+			g.Eventually(func() bool { return f.sendPrompt(t.Context(), address, "a") }, waitTimeout).Should(gomega.BeTrue())
+		})
 	}
-	added := f.newScriptedServer("added", "llm", whole)
-	awaitRegistrations()
-	f.removeServers(f.llmServers)
-	g.Eventually(func() int32 {
-		status, _, _, err := f.send("POST", "/llm/x", "k1", "")
-		g.Expect(err).NotTo(gomega.HaveOccurred())
-		g.Expect(status).NotTo(gomega.Equal(http.StatusBadGateway))
-		return added.runs.Load()
-	}, waitTimeout).Should(gomega.BeNumerically(">", 3))
-	// An entry that starts reads all records at once.
-	address := allocateAddress()
-	f.newIngress("second", address, allocateAddress(), allocateAddress())
-	g.Eventually(func() bool { return f.sendPrompt(t.Context(), address, "a") }, waitTimeout).Should(gomega.BeTrue())
 }
 
 // stagedEngine is an in-memory model engine that loads at once.
@@ -148,27 +172,17 @@
 func TestLoaderReadsOddRecords(t *testing.T) {
 	for _, topic := range []string{keyedstore.TopicServers, keyedstore.TopicOperator, keyedstore.TopicEntries} {
 		t.Run(topic, func(t *testing.T) {
+			t.Parallel()
 			g := gomega.NewWithT(t)
 			store, err := keyedstore.New(allocateAddress())
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			t.Cleanup(store.Close)
-			putOdd := func() {
-				for key, value := range oddValues() {
-					if topic != keyedstore.TopicServers {
-						// The values concern the keys that the loader knows, which get valid ones afterwards.
-						for _, known := range []string{"config", "version/m", "entry." + key} {
-							store.Put(topic, known, value)
-						}
-					}
-					store.Put(topic, key, value)
-				}
-			}
 			declare := func(version int) {
 				store.Put(keyedstore.TopicOperator, "config", fmt.Sprintf(`{"version":%d,"routes":[],"services":[`+
 					`{"name":"llm","engine":{"slots":4,"chunks":1,"chunkBytes":1,"models":[{"name":"m"}]}},{"name":"o","origin":"127.0.0.1:5","zone":"z"}]}`, version))
 				store.Put(keyedstore.TopicOperator, "version/m", fmt.Sprintf(`{"model":"m","version":%d}`, version))
 			}
-			putOdd()
+			putOddRecords(store, topic)
 			declare(1)
 			pieceAddress := allocateAddress()
 			ip, _, err := net.SplitHostPort(pieceAddress)
@@ -182,7 +196,7 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			t.Cleanup(func() { daemon.Drain() })
 			g.Eventually(engine.loadedVersion, waitTimeout).Should(gomega.Equal(1))
-			putOdd()
+			putOddRecords(store, topic)
 			declare(2)
 			g.Eventually(engine.loadedVersion, waitTimeout).Should(gomega.Equal(2))
 		})
