ingress: no hedge begins for an attempt that ends, body bytes drop one

Cause: read in review of the hedges. Between the end of an attempt and its removal from the stall detector another hedge could begin, which would be sent for nothing; and body bytes that are no stream counted as progress, but let a hedge run on. Change: taking the hedge of an ended attempt ends its hedging; body bytes drop the hedge as events do. Measured: platformtest passes under the race detector (no test shows the first case, a window of microseconds).

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -454,7 +454,8 @@
 	return func(total int) {
 		if steps := total / progressBytes; steps > recorded {
 			recorded = steps
-			i.stallDetector.recordProgress(time.Now(), r.activeAttempt)
+			// If a hedge has replaced the attempt, the next read fails.
+			i.advance(time.Now(), r.activeAttempt, r.position)
 		}
 	}
 }
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -217,12 +217,13 @@
 	return h, h.response
 }
 
-// takeHedge returns the hedge of an attempt, or nil, so that it is not dropped with the attempt.
+// takeHedge returns the hedge of an attempt that has ended, or nil, so that it is not dropped with
+// the attempt. No further hedge of the attempt begins.
 func (s *stallDetector) takeHedge(attempt *activeAttempt) *hedge {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	h := attempt.hedge
-	attempt.hedge = nil
+	attempt.hedge, attempt.resendable = nil, false
 	return h
 }
 
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -51,8 +51,8 @@
 
 // activeAttempt is a request in flight at a server.
 type activeAttempt struct {
-	// request is the one that was sent. Its fields change only while none of its attempts is
-	// tracked, except those that newHedge doesn't read.
+	// request is the one that was sent. Its fields that startHedge reads change only while the
+	// attempt is not tracked.
 	request *request
 	// server is the ID of the server that the request was sent to.
 	server string
@@ -106,6 +106,7 @@
 	s.recordProgressLocked(now, attempt)
 }
 
+// recordProgressLocked is recordProgress for callers that hold the lock.
 func (s *stallDetector) recordProgressLocked(now time.Time, attempt *activeAttempt) {
 	attempt.responseBegun = true
 	if server := s.servers[attempt.server]; server != nil {
