--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -14,14 +14,10 @@
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 	"github.com/fuchsiarouter/fuchsiarouter/exchange"
 	"github.com/fuchsiarouter/fuchsiarouter/result"
-	"github.com/fuchsiarouter/fuchsiarouter/retry"
 	"github.com/fuchsiarouter/fuchsiarouter/schedule"
 )
 
 const (
-	// maxSends bounds how often this entry sends one request to any server. Unlike the
-	// MaxAttempts of the route, it includes the sends that a server refuses.
-	maxSends = 4
 	// maxResponseBytes bounds a response that is not streamed.
 	maxResponseBytes = 8 << 20
 	// maxDiscardedBytes bounds the body of a response that is not passed to the caller. The
@@ -39,9 +35,6 @@
 // errReplaced reports an attempt whose response arrived after that of its hedge.
 var errReplaced = errors.New("another server has answered first")
 
-// resendBudget bounds how often this entry sends requests of one service again.
-type resendBudget = retry.WindowBudget
-
 // serverResponse is the response of a backend server, of which the head has been read.
 type serverResponse struct {
 	server *catalog.Server
@@ -396,36 +389,6 @@
 	return nil, nil
 }
 
-// allowResend decides whether the request may be sent again after a failed attempt. notRun
-// states that the server certainly did not run the request, connected that a connection
-// to the server was made. If a connection was made, a resend is allowed only if the budget
-// of the service has one left, which allowResend takes.
-func (i *Ingress) allowResend(r *request, notRun, connected bool) bool {
-	if !r.canSendAgain(notRun) {
-		return false
-	}
-	if !connected {
-		return true
-	}
-	allowed := false
-	i.withResendBudget(r.service, func(budget *resendBudget) {
-		allowed = budget.Allow(time.Now(), i.roster.LiveCount(time.Now())+1)
-	})
-	return allowed
-}
-
-// canSendAgain reports whether the limits of the route and of this entry allow another attempt.
-// notRun states that the server of the last one certainly did not run the request.
-func (r *request) canSendAgain(notRun bool) bool {
-	switch {
-	case r.attempts >= maxSends:
-		return false
-	case notRun:
-		return r.possibleRuns == 0 || r.possibleRuns < r.route.MaxAttempts
-	}
-	return r.route.IsIdempotent() && r.possibleRuns < r.route.MaxAttempts
-}
-
 // handleInterruptedResponse ends an attempt whose response was cut off after its head was
 // read, and releases its server. It returns the same as handleFailedAttempt.
 func (i *Ingress) handleInterruptedResponse(r *request, response *serverResponse, err error) (*serverResponse, *result.Error) {
@@ -491,17 +454,3 @@
 	defer i.mu.Unlock()
 	i.scheduler.Release(time.Now(), server, r.service, outcome)
 }
-
-// withResendBudget calls use with the resend budget of a service while it holds the lock.
-// It creates the budget on first use.
-func (i *Ingress) withResendBudget(service string, use func(*resendBudget)) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	budget := i.resendBudgets[service]
-	if budget == nil {
-		budget = retry.NewWindowBudget(i.settings.ResendRatio*resendSafetyFactor,
-			i.settings.ResendAllowance*resendSafetyFactor, i.settings.ResendWindow)
-		i.resendBudgets[service] = budget
-	}
-	use(budget)
-}
