ingress, schedule: a server that goes on after a silence gets requests again

Seen by callers: 503 (queue-full) although all servers are sound, after some of them were silent for a second. Cause: a stalled server is suspended for 2 s, doubling, whatever it does meanwhile. That was hidden while its requests were cancelled there: their failures replaced the suspension by an ejection of 0.3 s and more. Change: progress on any answer of a server that counted as stalled lifts its suspension at this entry. Measured: TestServerThatGoesOnGetsRequests before the fix --- FAIL: 503 'queue-full' in place of 200 TestServerThatGoesOnIsNotSuspended is new with the method.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -272,7 +272,9 @@
 		return nil, err
 	}
 	r.framing = httpResponse.Framing()
-	i.stallDetector.recordProgress(time.Now(), r.activeAttempt)
+	if now := time.Now(); i.stallDetector.recordProgress(now, r.activeAttempt) {
+		i.resumeServer(now, server.ID)
+	}
 	i.mu.Lock()
 	i.scheduler.RecordFirstEvent(r.service, r.rank, time.Since(sentAt))
 	i.mu.Unlock()
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -246,25 +246,28 @@
 // a stream. It returns false, and records nothing, if a hedge has replaced the attempt. Otherwise
 // the attempt goes on, and a hedge that runs is dropped.
 func (i *Ingress) advance(now time.Time, attempt *activeAttempt, position streamPosition) bool {
-	dropped, replaced := i.stallDetector.advance(now, attempt, position)
+	dropped, resumed, replaced := i.stallDetector.advance(now, attempt, position)
 	if dropped != nil {
 		dropped.request.cancelCallerCtx()
 	}
+	if resumed {
+		i.resumeServer(now, attempt.server)
+	}
 	return !replaced
 }
 
-// advance is Ingress.advance. It returns the dropped hedge, whose request is to be cancelled, or
-// that a hedge has replaced the attempt.
-func (s *stallDetector) advance(now time.Time, attempt *activeAttempt, position streamPosition) (dropped *hedge, replaced bool) {
+// advance is Ingress.advance. It returns the dropped hedge, whose request is to be cancelled, and
+// whether the server was stalled, or that a hedge has replaced the attempt.
+func (s *stallDetector) advance(now time.Time, attempt *activeAttempt, position streamPosition) (dropped *hedge, resumed, replaced bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if attempt.hedge != nil && attempt.hedge.response != nil {
-		return nil, true
+		return nil, false, true
 	}
-	s.recordProgressLocked(now, attempt)
+	resumed = s.recordProgressLocked(now, attempt)
 	attempt.position = position
 	if dropped = attempt.hedge; dropped != nil {
 		dropped.dropped, attempt.hedge = true, nil
 	}
-	return dropped, false
+	return dropped, resumed, false
 }
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -46,7 +46,10 @@
 	// lastProgress is the time of the last progress on any response or, if there was none,
 	// that at which the first of the attempts was sent. resetTimers sets it anew.
 	lastProgress time.Time
-	attempts     map[*activeAttempt]struct{}
+	// stalled is set from the time at which the server is found stalled, by this entry or by
+	// another one, until it makes progress again.
+	stalled  bool
+	attempts map[*activeAttempt]struct{}
 }
 
 // activeAttempt is a request in flight at a server.
@@ -99,19 +102,21 @@
 }
 
 // recordProgress records progress on the response to an attempt. This restarts the stall
-// timeout of the server, for all its attempts.
-func (s *stallDetector) recordProgress(now time.Time, attempt *activeAttempt) {
+// timeout of the server, for all its attempts. It reports whether the server was stalled.
+func (s *stallDetector) recordProgress(now time.Time, attempt *activeAttempt) (resumed bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.recordProgressLocked(now, attempt)
+	return s.recordProgressLocked(now, attempt)
 }
 
 // recordProgressLocked is recordProgress for callers that hold the lock.
-func (s *stallDetector) recordProgressLocked(now time.Time, attempt *activeAttempt) {
+func (s *stallDetector) recordProgressLocked(now time.Time, attempt *activeAttempt) (resumed bool) {
 	attempt.responseBegun = true
 	if server := s.servers[attempt.server]; server != nil {
-		server.lastProgress = now
+		resumed = server.stalled
+		server.lastProgress, server.stalled = now, false
 	}
+	return resumed
 }
 
 // markSound marks an attempt as sound. It reports whether it was not marked before.
@@ -192,6 +197,7 @@
 		if now.Sub(server.lastProgress) < timeout {
 			continue
 		}
+		server.stalled = true
 		report.servers = append(report.servers, id)
 		if begun {
 			report.confirmed = append(report.confirmed, id)
@@ -208,12 +214,14 @@
 	return report
 }
 
-// hedgeServer returns new hedges for the attempts at the server with the given ID.
+// hedgeServer returns new hedges for the attempts at the server with the given ID, which another
+// entry has found stalled.
 func (s *stallDetector) hedgeServer(now time.Time, server string) []*hedge {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var hedges []*hedge
 	if progress := s.servers[server]; progress != nil {
+		progress.stalled = true
 		for attempt := range progress.attempts {
 			if hedge := startHedge(now, attempt); hedge != nil {
 				hedges = append(hedges, hedge)
@@ -292,6 +300,13 @@
 	}
 }
 
+// resumeServer lets a server that was stalled get requests again.
+func (i *Ingress) resumeServer(now time.Time, server string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.scheduler.ResumeStalled(now, server)
+}
+
 // applyPeerStalls suspends the servers that another entry reports as stalled, and hedges the
 // resendable attempts of this entry there.
 func (i *Ingress) applyPeerStalls(now time.Time, servers []string) {
--- a/schedule/outcome.go
+++ b/schedule/outcome.go
@@ -56,6 +56,17 @@
 	server.consecutiveStalls++
 }
 
+// ResumeStalled lets a server get requests again that makes progress after SuspendStalled. Queued
+// requests are assigned to it as far as it has capacity.
+func (s *Scheduler) ResumeStalled(now time.Time, id string) {
+	server := s.servers[id]
+	if server == nil || server.consecutiveStalls == 0 {
+		return
+	}
+	server.suspendedUntil, server.consecutiveStalls = time.Time{}, 0
+	s.dispatchQueued(now, s.serviceFor(server.Service))
+}
+
 // MarkReplaced stops sending requests to a server because another incarnation has answered
 // at its address. It takes effect until the new incarnation is registered: after a power
 // loss the registration of the old one remains for seconds.
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -228,6 +228,24 @@
 	g.Expect(s.Submit(later, newRequest(1, later)).Server).To(gomega.Equal("a"))
 }
 
+// TestServerThatGoesOnIsNotSuspended guards against refusing requests because a server was silent
+// for a while, and against lifting the ejection of a server that was not.
+func TestServerThatGoesOnIsNotSuspended(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z", keyOf)
+	s.SetServers(start, modelServers("z"))
+	s.SuspendStalled(start, "a")
+	soon := start.Add(100 * time.Millisecond)
+	g.Expect(s.Submit(soon, newRequest(1, soon)).Server).To(gomega.BeEmpty())
+	s.ResumeStalled(soon, "a")
+	for range 2 {
+		g.Expect(s.Submit(soon, newRequest(1, soon)).Server).To(gomega.Equal("a"))
+	}
+	s.Release(soon, "a", "s", schedule.Failed)
+	s.ResumeStalled(soon, "a")
+	g.Expect(s.Submit(soon, newRequest(1, soon)).Server).To(gomega.BeEmpty())
+}
+
 // TestResumedRequestsGoFirst guards against cutting off a response that has begun: when
 // its server is lost while the others are full, its request must precede the queued ones.
 func TestResumedRequestsGoFirst(t *testing.T) {
--- a/standin/platformtest/silence_test.go
+++ b/standin/platformtest/silence_test.go
@@ -129,3 +129,26 @@
 	sending.Wait()
 	g.Expect(failures).To(gomega.BeEmpty())
 }
+
+// TestServerThatGoesOnGetsRequests guards against refusing requests because the only server was
+// silent for a while and has gone on since.
+func TestServerThatGoesOnGetsRequests(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	f.removeServers(f.llmServers)
+	var sends atomic.Int32
+	f.newScriptedServer("s0", "llm", func(request *http.Request) string {
+		reply := frame(request, "length", "200 OK", streamBody(1, 5))
+		if sends.Add(1) == 1 {
+			return withSilence(reply, "data: 2\n\n")
+		}
+		return reply
+	})
+	awaitRegistrations()
+	for range 5 {
+		status, body, _, err := f.send("POST", "/llm/x", "k1", "")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(status).To(gomega.Equal(http.StatusOK), body)
+		g.Expect(body).To(gomega.Equal(streamBody(1, 5)))
+	}
+}
