platformtest: odd records of at most 256 KB

Cause: beside 8 busy processes and under the race detector the tests of odd records timed out in 3 of 4 runs: values of up to 1 MB, under several keys each, made topics of megabytes, which the stand-in of the store sends in one page. The platform's records have at most 256 KB. Change: a nesting of 50,000 in place of 200,000, which makes records of that size.

--- a/standin/platformtest/odd_records_test.go
+++ b/standin/platformtest/odd_records_test.go
@@ -21,12 +21,15 @@
 const oddRegistration = `{"service":"llm","address":"127.0.0.1:9","zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,` +
 	`"seq":1,"models":[{"name":"m","version":1}],%s}`
 
+// nesting is the depth of deeply nested values, which are as large as a record may be: 256 KB.
+const nesting = 50_000
+
 // oddValues are records, by key, that another writer may have left in a topic.
 func oddValues() map[string]string {
 	values := map[string]string{
-		"nested-list":   strings.Repeat("[", 200_000),
-		"nested-object": strings.Repeat(`{"a":`, 200_000),
-		"nested-field":  fmt.Sprintf(oddRegistration, `"models":`+strings.Repeat("[", 200_000)+strings.Repeat("]", 200_000)),
+		"nested-list":   strings.Repeat("[", nesting),
+		"nested-object": strings.Repeat(`{"a":`, nesting),
+		"nested-field":  fmt.Sprintf(oddRegistration, `"models":`+strings.Repeat("[", nesting)+strings.Repeat("]", nesting)),
 		"nested-other":  fmt.Sprintf(oddRegistration, `"other":`+strings.Repeat("[", 9_000)+strings.Repeat("]", 9_000)),
 		"no-json":       "\x00\xff\xfe",
 		"null":          "null",
