--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -309,7 +309,7 @@
 // failedAttempt is an attempt that has ended without a response that can be passed to the caller.
 type failedAttempt struct {
 	// notRun is set if the server certainly did not run the request, cancelled if the caller
-	// has disconnected.
+	// has disconnected or this entry stops.
 	notRun, cancelled bool
 	// failure is the error to report to the caller if the request is not sent again.
 	failure *result.Error
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -20,8 +20,8 @@
 	// as long as a response takes, and may then load weights for 0.6 s. After this time, which
 	// is longer than the silence of a sound server, requests without a response are taken back.
 	stallTimeoutBeforeResponse = 2 * time.Second
-	// progressBytes is the number of bytes of an event that has not arrived whole which count as
-	// progress.
+	// progressBytes is the number of bytes that count as progress, of an event that has not
+	// arrived whole or of a body that is no stream.
 	progressBytes = 1 << 10
 	// ownPauseThreshold is the time between two checks for stalled servers above which
 	// this process itself is assumed to have been paused.
@@ -71,8 +71,8 @@
 	position streamPosition
 	// isHedge is set while the attempt belongs to a hedge that has not replaced the first one.
 	isHedge bool
-	// hedge is the one that runs, or that has got a response which the request has not taken
-	// over yet; nil if there is none. The next one may begin at nextHedgeAt.
+	// hedge is the current hedge of the attempt, nil if there is none: it runs, or it has a
+	// response that the request has not taken over yet. The next one may begin at nextHedgeAt.
 	hedge       *hedge
 	nextHedgeAt time.Time
 	// hedgeServers are the servers that hedges of this attempt were sent to, hedgeRuns the
