--- a/standin/platformtest/stop_test.go
+++ b/standin/platformtest/stop_test.go
@@ -53,6 +53,7 @@
 						answers <- answer{id, path, 0, err}
 						return
 					}
+					defer response.Body.Close()
 					_, err = io.ReadAll(response.Body)
 					answers <- answer{id, path, response.StatusCode, err}
 				})
