loader: log engine calls without an answer, and the age of the verified pieces

Change: StagedEngine reports calls that may still be carried out as ErrUnanswered. The loader logs and counts them, and orders that the engine has accepted without an answer; a load order is logged with the age of its reads and the engine's incarnation. The calls that stage and order move into files of their own; no decision changes.

--- a/loader/converge.go
+++ b/loader/converge.go
@@ -71,6 +71,7 @@
 			interval = enginePollInterval
 			continue
 		}
+		l.calls.recordReport(report)
 		l.recordReport(model, report)
 		switch {
 		case report.Busy:
@@ -262,56 +263,6 @@
 	return false
 }
 
-// load writes a version to the engine's staging area, waits for the turn of this engine,
-// and orders the engine to load the version. It sends no order and returns nil if a newer
-// version has become complete meanwhile, or if the engine is busy or has the version
-// already.
-func (l *Loader) load(model string, cache *pieceCache) error {
-	start := time.Now()
-	version := cache.manifest.Version
-	if err := l.stage(model, cache); err != nil {
-		return err
-	}
-	stagedAt := time.Now()
-	if newer, err := l.waitForLoadTurn(model, version); err != nil || newer {
-		return err
-	}
-	if err := l.replaceCorruptStaged(model, version, cache); err != nil {
-		return err
-	}
-	report, err := l.engine.Report()
-	if err != nil {
-		return err
-	}
-	if report.Busy || report.LoadedVersions[model] >= version {
-		return nil
-	}
-	answer, err := l.engine.StartLoad(model, version, report.AcceptedOrders)
-	if err != nil {
-		return err
-	}
-	l.log.Info("load ordered", zap.String("model", model), zap.Int("version", version), zap.Int("answer", int(answer)),
-		zap.Int("running", report.Running), zap.Int("waiting", report.Waiting), zap.Duration("staged-in", stagedAt.Sub(start)),
-		zap.Duration("waited", time.Since(stagedAt)))
-	if answer == fuchsiarouter.OrderRefused {
-		return errors.New("the engine refused the order")
-	}
-	if report, err = l.engine.Report(); err == nil {
-		l.recordReport(model, report)
-	}
-	return nil
-}
-
-// stage writes all pieces to the engine's staging area.
-func (l *Loader) stage(model string, cache *pieceCache) error {
-	for piece := range cache.manifest.Digests {
-		if err := l.engine.StagePiece(model, piece, cache.get(piece)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // waitForLoadTurn waits until this engine may load. The engines of a service load at
 // times that are spread, in the order of loadPosition, over a window before the version
 // deadline. An engine without a version loads immediately. waitForLoadTurn returns true,
@@ -384,24 +335,6 @@
 	return max(slices.Index(ids, self), 0), len(ids)
 }
 
-// replaceCorruptStaged reads every staged piece back right before the load order and replaces
-// corrupt ones. The engine loads the staged pieces unverified, and they can become
-// corrupt after staging.
-func (l *Loader) replaceCorruptStaged(model string, version int, cache *pieceCache) error {
-	for piece := range cache.manifest.Digests {
-		content, err := l.engine.ReadStagedPiece(model, piece)
-		if err == nil && cache.verify(piece, content) {
-			continue
-		}
-		l.counters.stagedReplaced.Inc(1)
-		l.log.Info("staged piece replaced", zap.Int("piece", piece), zap.Int("version", version))
-		if err := l.engine.StagePiece(model, piece, cache.get(piece)); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 // versionDeadline returns the boot time after which no request may start on the version
 // that the engine holds. It returns false if no newer version is declared.
 func (l *Loader) versionDeadline(model string, held int) (time.Duration, bool) {
--- a/loader/fetch.go
+++ b/loader/fetch.go
@@ -36,6 +36,15 @@
 	// stagedReplaced counts the staged pieces that were corrupt or unreadable right before
 	// a load order.
 	stagedReplaced tally.Counter
+	// unanswered counts the calls that change the engine and got no answer, by kind of call.
+	unansweredStages tally.Counter
+	unansweredOrders tally.Counter
+	// unknownOrders counts the orders that the engine has accepted without an answer to this
+	// loader.
+	unknownOrders tally.Counter
+	// stagedReadAge is the time from the first read of the staged pieces to the engine's answer to
+	// the load order.
+	stagedReadAge tally.Histogram
 	// served counts the pieces sent to other loaders.
 	served tally.Counter
 }
@@ -44,7 +53,11 @@
 	return counters{
 		fetched: scope.Counter("pieces_fetched"), fromOrigin: scope.Counter("pieces_from_origin"),
 		corrupt: scope.Counter("pieces_bad"), stagedReplaced: scope.Counter("staged_pieces_replaced"),
-		served: scope.Counter("pieces_served"),
+		served:           scope.Counter("pieces_served"),
+		unansweredStages: scope.Tagged(map[string]string{"call": callStage}).Counter("engine_calls_unanswered"),
+		unansweredOrders: scope.Tagged(map[string]string{"call": callOrder}).Counter("engine_calls_unanswered"),
+		unknownOrders:    scope.Counter("orders_without_answer"),
+		stagedReadAge:    scope.Histogram("staged_read_age_seconds", stagedReadAgeBuckets),
 	}
 }
 
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -93,6 +93,8 @@
 	mirror   *mirror.Mirror
 	log      *zap.Logger
 	counters counters
+	// calls sends the calls that change the engine. Only converge uses it.
+	calls *engineCalls
 
 	// entryHTTP sends requests to entries, peerHTTP to other loaders.
 	entryHTTP *fasthttp.Client
@@ -158,6 +160,7 @@
 		},
 		wakeConverge: make(chan struct{}, 1), wakeFetch: make(chan struct{}, 1), stop: make(chan struct{}),
 	}
+	l.calls = &engineCalls{engine: engine, log: log, counters: l.counters}
 	listener, err := tcp.Listen(settings.PieceAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen at piece address")
--- a/staged.go
+++ b/staged.go
@@ -1,5 +1,11 @@
 package fuchsiarouter
 
+import "github.com/go-faster/errors"
+
+// ErrUnanswered reports that a staged engine gave no answer to a call that was sent. The engine may
+// have carried out the call, or may still carry it out.
+var ErrUnanswered = errors.New("no answer of the engine")
+
 // StagedEngine is a model engine that loads a version from pieces, the parts of the
 // version's weights, which the daemon on its VM has stored at the engine (staged) before.
 // No other daemon can stage pieces there.
@@ -12,12 +18,14 @@
 	StagedPieces(model string) ([]int, error)
 	// ReadStagedPiece returns the current content of a staged piece.
 	ReadStagedPiece(model string, piece int) ([]byte, error)
-	// StagePiece stores a piece at the engine. piece is its index in the manifest.
+	// StagePiece stores a piece at the engine. piece is its index in the manifest. The error is
+	// ErrUnanswered if the engine may still store the piece.
 	StagePiece(model string, piece int, content []byte) error
 	// StartLoad orders the engine to load the staged pieces as a version. It returns when
 	// the engine has accepted or refused the order, not when the version is loaded. expected
 	// is the number of orders that the engine should have accepted so far; if the number
-	// differs, the engine refuses the order.
+	// differs, the engine refuses the order. The error is ErrUnanswered if the engine may
+	// still accept the order.
 	StartLoad(model string, version int, expected int64) (OrderResult, error)
 }
 
