--- a/standin/platformtest/whole_test.go
+++ b/standin/platformtest/whole_test.go
@@ -1,6 +1,7 @@
 package platformtest_test
 
 import (
+	"context"
 	"fmt"
 	"net"
 	"sync"
@@ -13,6 +14,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/loader"
 	"github.com/fuchsiarouter/fuchsiarouter/platform"
 	"github.com/fuchsiarouter/fuchsiarouter/standin/keyedstore"
+	"github.com/fuchsiarouter/fuchsiarouter/standin/link"
 	"github.com/fuchsiarouter/fuchsiarouter/standin/stagedengine"
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
@@ -77,15 +79,28 @@
 	return f
 }
 
-// startLoader starts a loader of the engine.
-func (f *wholeFleet) startLoader() *loader.Loader {
+// startLoader starts a loader of the engine. The returned function ends its calls and the loader.
+func (f *wholeFleet) startLoader() (kill func()) {
+	g := gomega.NewWithT(f.t)
+	listener, err := net.Listen("tcp", allocateAddress())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	toEngine := link.New(link.Options{Target: f.engine.Address()})
+	go func() { _ = toEngine.Serve(ctx, listener) }()
 	daemon, err := loader.New(loader.Settings{
 		Name: "l", IP: f.ip, AvailabilityZone: "z", Region: "r", EngineAddress: f.engine.Address(), Service: "llm", LinkBandwidth: 1 << 20,
 		VersionDeadline: wholeVersionDeadline, PieceAddress: allocateAddress(), PeerPort: 1,
-	}, platform.NewRegistry(f.store.Address()), platform.NewEngine(f.engine.Address()), platform.NewPieceOrigin(),
+	}, platform.NewRegistry(f.store.Address()), platform.NewEngine(listener.Addr().String()), platform.NewPieceOrigin(),
 		zap.NewNop(), telemetry.NewMetrics("loader"))
-	gomega.NewWithT(f.t).Expect(err).NotTo(gomega.HaveOccurred())
-	return daemon
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	kill = sync.OnceFunc(func() {
+		toEngine.SetState(link.Cut)
+		daemon.Drain()
+		cancel()
+		_ = listener.Close()
+	})
+	f.t.Cleanup(kill)
+	return kill
 }
 
 // declare declares a version.
@@ -104,8 +119,7 @@
 // function fault, that chooses the faults of all calls, may declare. It then checks all loads.
 func (f *wholeFleet) play(version int, fault func(stagedengine.Call) stagedengine.Fault) {
 	f.setFault(fault)
-	daemon := f.startLoader()
-	f.t.Cleanup(func() { daemon.Drain() })
+	f.startLoader()
 	f.declare(2)
 	f.expectWhole(version)
 }
--- a/standin/stagedengine/engine.go
+++ b/standin/stagedengine/engine.go
@@ -217,8 +217,8 @@
 	return e.startedAt
 }
 
-// admit records that a call has arrived on the connection, and returns the incarnation that it has
-// arrived at.
+// admit records that a call has arrived on the connection. It returns the incarnation that the call
+// has arrived at.
 func (e *Engine) admit(connection net.Conn) time.Time {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/standin/stagedengine/serve.go
+++ b/standin/stagedengine/serve.go
@@ -75,11 +75,14 @@
 func (e *Engine) serveHTTP(ctx *fasthttp.RequestCtx) {
 	arrivedAt := time.Now()
 	call, order := e.decode(ctx)
+	incarnation := e.incarnation()
 	var fault Fault
 	if e.settings.Fault != nil && call.Kind != "" {
 		fault = e.settings.Fault(call)
 	}
-	incarnation := e.admit(ctx.Conn())
+	if ctx.ConnRequestNum() == 1 {
+		incarnation = e.admit(ctx.Conn())
+	}
 	if fault.CloseAfter > 0 {
 		connection := ctx.Conn()
 		time.AfterFunc(fault.CloseAfter, func() { _ = connection.Close() })
--- a/standin/stagedengine/staged.go
+++ b/standin/stagedengine/staged.go
@@ -136,7 +136,7 @@
 		case staged.rightVersion != version:
 			violations = append(violations, fmt.Sprintf("piece %d is corrupt and never was right", piece))
 		case now.Sub(staged.rightUntil) > CorruptionAllowance:
-			violations = append(violations, fmt.Sprintf("piece %d became corrupt %v before", piece, now.Sub(staged.rightUntil).Round(time.Millisecond)))
+			violations = append(violations, fmt.Sprintf("piece %d became corrupt %v before", piece, now.Sub(staged.rightUntil).Round(100*time.Millisecond)))
 		}
 	}
 	return violations
