loader: wait until the calls of an earlier process are settled

Cause: a loader that was killed can leave a call at its engine. The next process knew nothing of it and staged another version, and the engine then carried out the call. A loader that was stopped left its calls in the same way. Change: a process counts the calls of an earlier one as unsettled until the engine has answered for 5 s, unless the engine was started with or after it, or the pieces of the newest declared version are already staged: then all those calls were for that version. On a stop the loader waits for the ends of its calls. Why it works: it is the rule for lost calls. A call that the engine carries out more than 5 s after the process that sent it ended is not covered.

--- a/Makefile
+++ b/Makefile
@@ -8,9 +8,6 @@
 	@mkdir -p bin
 	go build -o bin/ ./cmd/... ./standin/cmd/...
 
-# PASSED_OVER are the tests of standin/platformtest that KNOWN-RED.txt lists.
-PASSED_OVER := TestLateCallOfEarlierLoader
-
 # test runs all tests of both modules. -count=1 disables the test cache, which does not
 # track the binaries that the scenarios run.
 #
@@ -18,7 +15,6 @@
 test: build
 	@for script in standin/scenario/known-red/*.txtar; do echo "passed over, see KNOWN-RED.txt: $$script"; done
 	@echo "passed over, see KNOWN-RED.txt: schedule TestManyEntriesServeReturningCallers"
-	@for test in $(PASSED_OVER); do echo "passed over, see KNOWN-RED.txt: standin/platformtest $$test"; done
 	RAPID_SEED=1 go test -count=1 -timeout 5m ./... ./standin/...
 
 # soak runs the property tests with random seeds and many more cases. Add a regression test
--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -74,7 +74,7 @@
 	return runOnPlatform(ctx, c, "loader", func(node *platform.NodeSettings, log *zap.Logger, metrics telemetry.Metrics) (drainer, error) {
 		return loader.New(loader.Settings{
 			Name: node.Name, IP: node.IP, AvailabilityZone: node.AvailabilityZone, Region: node.Region,
-			EngineAddress: node.EngineAddress, Service: node.Service, VersionDeadline: node.VersionDeadline, LinkBandwidth: node.LinkBytesPerSecond,
+			EngineAddress: node.EngineAddress, Service: node.Service, VersionDeadline: node.VersionDeadline, StopGrace: node.StopGrace, LinkBandwidth: node.LinkBytesPerSecond,
 			PieceAddress: node.PeerAddress(node.IP, loaderPortIndex), PeerPort: node.FirstPort + loaderPortIndex,
 		}, platform.NewRegistry(node.RegistryAddress), platform.NewEngine(node.EngineAddress), platform.NewPieceOrigin(), log, metrics)
 	})
--- a/loader/converge.go
+++ b/loader/converge.go
@@ -44,6 +44,7 @@
 // converge calls reconcile repeatedly until the loader ends: after the pause that reconcile
 // returns, or earlier on a signal of wakeConverge.
 func (l *Loader) converge() {
+	defer close(l.converged)
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -57,6 +58,16 @@
 	}
 }
 
+// isStopped reports whether Drain was called.
+func (l *Loader) isStopped() bool {
+	select {
+	case <-l.stop:
+		return true
+	default:
+		return false
+	}
+}
+
 // reconcile polls the engine and compares its loaded versions with the declared ones. If
 // the engine is behind and executes no order, reconcile loads the newest version whose
 // pieces are all present, for which it may have to wait, see waitForLoadTurn. An order that is
--- a/loader/engine_calls.go
+++ b/loader/engine_calls.go
@@ -17,6 +17,9 @@
 	callOrder = "order"
 )
 
+// callEarlier stands for the calls of an earlier process of the loader.
+const callEarlier = "earlier"
+
 const (
 	// engineAnswerTimeout is how long the loader waits for the answer to a call that changes the
 	// engine. A call without an answer goes on and stays unsettled.
@@ -24,6 +27,9 @@
 	// lateCallWindow is how long an engine that answers other calls may still carry out a call
 	// whose connection has ended without an answer.
 	lateCallWindow = 5 * time.Second
+	// minRestartDelay is the least time between the start of an engine and that of a loader before
+	// which an earlier process of the loader has sent a call to that engine.
+	minRestartDelay = 100 * time.Millisecond
 )
 
 // errUnsettled reports that the staged pieces must not be replaced by those of another version yet.
@@ -35,8 +41,9 @@
 // expect the same number of accepted orders the engine accepts one.
 //
 // A call to store a piece is settled by its answer or, if its connection ends without one, once the
-// engine has answered other calls for lateCallWindow. An order is settled by its answer or once the
-// engine has accepted any order since. The end of the engine's incarnation settles all calls.
+// engine has answered other calls for lateCallWindow. The calls of an earlier process of the loader
+// are settled in the same way. An order is settled by its answer or once the engine has accepted any order
+// since. The end of the engine's incarnation settles all calls.
 type engineCalls struct {
 	engine   fuchsiarouter.StagedEngine
 	log      *zap.Logger
@@ -44,6 +51,9 @@
 
 	mu        sync.Mutex
 	unsettled map[*engineCall]struct{}
+	// earlierVersions holds, by model, the version of the unsettled calls of an earlier process of
+	// the loader, if it is known.
+	earlierVersions map[string]int
 	// startedAt is the start of the engine's incarnation that was reported last, acceptedOrders
 	// the number of orders that it has accepted, as far as this loader knows from reports and
 	// from answers to its own orders. reportedAt is when that report was requested, zero before
@@ -80,7 +90,11 @@
 }
 
 func newEngineCalls(engine fuchsiarouter.StagedEngine, log *zap.Logger, counters counters) *engineCalls {
-	return &engineCalls{engine: engine, log: log, counters: counters, unsettled: map[*engineCall]struct{}{}}
+	earlier := &engineCall{kind: callEarlier, sentAt: time.Now(), lost: true}
+	return &engineCalls{
+		engine: engine, log: log, counters: counters, unsettled: map[*engineCall]struct{}{earlier: {}},
+		earlierVersions: map[string]int{},
+	}
 }
 
 // stagePiece stores a piece of a version at the engine.
@@ -177,19 +191,32 @@
 	return append(fields, zap.Int("piece", c.piece))
 }
 
-// allows reports whether calls for a version may be sent: all unsettled calls of the model are for
-// that version.
+// allows reports whether calls for a version may be sent: all unsettled calls of the model are known
+// to be for that version.
 func (c *engineCalls) allows(cache *pieceCache) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	model, version := cache.manifest.Model, cache.manifest.Version
 	for call := range c.unsettled {
-		if call.model == cache.manifest.Model && call.version != cache.manifest.Version {
+		switch {
+		case call.kind == callEarlier && c.earlierVersions[model] != version:
+			return false
+		case call.kind != callEarlier && call.model == model && call.version != version:
 			return false
 		}
 	}
 	return true
 }
 
+// recordEarlierVersion records that an earlier process of the loader has staged pieces of the newest
+// declared version. Its unsettled calls are for that version, too: it has sent none for it before
+// those for older versions were settled, and none for a newer one.
+func (c *engineCalls) recordEarlierVersion(model string, version int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.earlierVersions[model] = version
+}
+
 // unsettledOrder returns the pieces of the version of the model's orders that are not settled, or
 // nil if there are none. All of them are for the same version, whose order is to be repeated until
 // the engine has accepted one.
@@ -218,6 +245,10 @@
 			zap.Int64("known", c.acceptedOrders), zap.Int64("born", report.StartedAt), zap.Any("versions", report.LoadedVersions))
 	}
 	for call := range c.unsettled {
+		if isFirst && call.kind == callEarlier && time.UnixMilli(report.StartedAt).After(call.sentAt.Add(-minRestartDelay)) {
+			delete(c.unsettled, call)
+			continue
+		}
 		if isRestarted {
 			call.expectsOther = true
 		}
@@ -254,3 +285,15 @@
 		call.answeringSince = time.Time{}
 	}
 }
+
+// isIdle reports whether every call has ended.
+func (c *engineCalls) isIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for call := range c.unsettled {
+		if !call.lost {
+			return false
+		}
+	}
+	return true
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -75,6 +75,8 @@
 	// VersionDeadline is the time after the declaration of a version after which no
 	// request may start on an older version.
 	VersionDeadline time.Duration
+	// StopGrace is the time between the stop signal and the end of the process.
+	StopGrace time.Duration
 	// LinkBandwidth is the bandwidth of the machine's network link in bytes per second. It
 	// limits the rate at which pieces are served; if it is 0, the limit is minPieceRate.
 	LinkBandwidth float64
@@ -141,9 +143,10 @@
 	// wakeConverge and wakeFetch interrupt the pauses of converge and fetchLoop.
 	wakeConverge chan struct{}
 	wakeFetch    chan struct{}
-	// stop is closed by Drain.
-	stop chan struct{}
-	done sync.WaitGroup
+	// stop is closed by Drain, converged when converge has ended.
+	stop      chan struct{}
+	converged chan struct{}
+	done      sync.WaitGroup
 }
 
 // New starts the loader of an engine. Pieces that no other loader can supply are read from
@@ -162,6 +165,7 @@
 			Rate: max(settings.LinkBandwidth*maxLinkShare, minPieceRate), IdleRate: max(settings.LinkBandwidth, minPieceRate),
 		},
 		wakeConverge: make(chan struct{}, 1), wakeFetch: make(chan struct{}, 1), stop: make(chan struct{}),
+		converged: make(chan struct{}),
 	}
 	l.calls = newEngineCalls(engine, log, l.counters)
 	listener, err := tcp.Listen(settings.PieceAddress)
@@ -299,14 +303,34 @@
 	return entries
 }
 
-// Drain tells the loader to stop fetching and loading versions. The piece server runs until
-// the process ends. Drain does not wait until requests for pieces end, since the requesting
-// loaders can fetch the pieces from other sources. It always returns true, which means a
-// complete drain.
+// drainMargin is the time before the end of the grace period, when the process is killed, at which
+// Drain stops waiting.
+const drainMargin = 500 * time.Millisecond
+
+// drainPollInterval is the interval at which Drain checks whether the calls to the engine have ended.
+const drainPollInterval = 20 * time.Millisecond
+
+// Drain tells the loader to stop fetching and loading versions, and waits until its calls that
+// change the engine have ended: the next process of the loader can't know of them. It reports
+// whether they have. The piece server runs until the process ends. Drain does not wait until requests
+// for pieces end, since the requesting loaders can fetch the pieces from other sources.
 func (l *Loader) Drain() bool {
+	end := time.Now().Add(l.settings.StopGrace - drainMargin)
 	l.log.Info("leaving")
 	close(l.stop)
-	return true
+	for {
+		select {
+		case <-l.converged:
+			if l.calls.isIdle() {
+				return true
+			}
+		default:
+		}
+		if !time.Now().Before(end) {
+			return false
+		}
+		time.Sleep(drainPollInterval)
+	}
 }
 
 // peerAddress returns the address at which the loader on an engine's machine serves
--- a/loader/staging.go
+++ b/loader/staging.go
@@ -110,6 +110,8 @@
 		return nil, nil
 	case verifiedIn > maxStagedReadAge:
 		return nil, errVerifiedLate
+	case l.isStopped():
+		return nil, errStopped
 	}
 	isSent = true
 	answer, err := l.calls.startLoad(order, cache, report)
@@ -122,6 +124,9 @@
 // stage writes all pieces to the engine's staging area.
 func (l *Loader) stage(cache *pieceCache) error {
 	for piece := range cache.manifest.Digests {
+		if l.isStopped() {
+			return errStopped
+		}
 		if err := l.calls.stagePiece(cache, piece); err != nil {
 			return err
 		}
@@ -160,7 +165,10 @@
 	group.SetLimit(readers)
 	for piece := range cache.manifest.Digests {
 		group.Go(func() error {
-			if ctx.Err() != nil {
+			switch {
+			case l.isStopped():
+				return errStopped
+			case ctx.Err() != nil:
 				return ctx.Err()
 			}
 			content, err := l.engine.ReadStagedPiece(cache.manifest.Model, piece)
--- a/standin/platformtest/whole_stop_test.go
+++ b/standin/platformtest/whole_stop_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -11,13 +10,6 @@
 	"github.com/fuchsiarouter/fuchsiarouter/standin/stagedengine"
 )
 
-// skipKnownRed skips a test that KNOWN-RED.txt lists, unless KNOWN_RED is set.
-func skipKnownRed(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("passed over, see KNOWN-RED.txt")
-	}
-}
-
 // TestEngineRestartsEmptyBeforeOrder guards against an order to an engine that has restarted empty since the verification.
 func TestEngineRestartsEmptyBeforeOrder(t *testing.T) {
 	t.Parallel()
@@ -52,7 +44,6 @@
 
 // TestLateCallOfEarlierLoader guards against late calls of a killed loader while the next one stages another version.
 func TestLateCallOfEarlierLoader(t *testing.T) {
-	skipKnownRed(t)
 	t.Parallel()
 	for _, kind := range []stagedengine.Kind{stagedengine.Put, stagedengine.Order} {
 		t.Run(string(kind), func(t *testing.T) {
