--- a/standin/stagedengine/serve.go
+++ b/standin/stagedengine/serve.go
@@ -59,7 +59,7 @@
 }
 
 // extraDelay is the time between an answer and extra bytes.
-const extraDelay = 2 * time.Millisecond
+const extraDelay = 20 * time.Millisecond
 
 // orderBody is the body of an order.
 type orderBody struct {
