soak: loaders beside engines with staged pieces

RunLoaders runs loader processes beside stand-in engines under a seeded schedule of faults: calls that are carried out late, lost and extra answers, silent connections, corrupt pieces, stops and restarts of engines, signals to loaders, and a new version every 1 to 4 s. bin/standin soak loaders and make soak-loaders run it by hand.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 test: build
 	@for script in standin/scenario/known-red/*.txtar; do echo "passed over, see KNOWN-RED.txt: $$script"; done
 	@echo "passed over, see KNOWN-RED.txt: schedule TestManyEntriesServeReturningCallers"
+	@echo "passed over, see KNOWN-RED.txt: standin/soak TestSoakLoaders"
 	RAPID_SEED=1 go test -count=1 -timeout 5m ./... ./standin/...
 
 # soak runs the property tests with random seeds and many more cases. Add a regression test
@@ -33,6 +34,12 @@
 soak-faults: build
 	bin/standin soak --seed $(FIRST) --runs $(RUNS)
 
+# soak-loaders does the same with loaders of the users' platform and engines that load staged
+# pieces.
+.PHONY: soak-loaders
+soak-loaders: build
+	bin/standin soak loaders --seed $(FIRST) --runs $(RUNS)
+
 # measure runs the experiments listed below with one seed and prints their figures.
 SEED ?= 1
 .PHONY: measure
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -18,6 +18,13 @@
 // runs no requests once revocationBound has passed, and a server that has told an entry that
 // it leaves, or has asked it for a pause, gets no more requests of it. Within recoveryTimeout after the last
 // fault, every entry serves requests again.
+//
+// RunLoaders does the same for loader processes, each beside a stand-in engine that loads staged
+// pieces. Calls to an engine are carried out late, or lose their answers; engines stop, restart and
+// lose pieces; loaders are killed, stopped gracefully and paused; and versions are declared all the
+// while. Invariants: an engine loads no piece that is missing, of another version, or corrupt for
+// longer than stagedengine.CorruptionAllowance. Within convergenceTimeout after the last fault, every
+// engine holds the newest version.
 package soak
 
 import (
