agent: fence late orders to the engine, and compare versions with its status

Cause: after an order without an answer the agent went on as if the engine had not executed it. All orders of a process had one fencing token, so the engine accepted the order later, after newer ones: a late unload removed a version that had been loaded again, and since only adapters were compared with the engine's status, the agent reported the version as ready and refused every call for it (version-not-loaded) until the engine restarted. A version given up while its load had no answer was never unloaded and occupied the engine's memory. A version that was wanted again while it was being unloaded could be loaded before the order to unload it. Change: the order after one without an answer carries a higher token. An engine that checks tokens refuses the late order; a load under the old token begins again. Versions are compared like adapters, which repairs the state beside engines that ignore tokens. Every ordered version is unloaded when it is given up, after the end of its load, and loaded again only after the unloading. Beside an engine that ignores tokens, a late unload still cuts the requests on the version (not prevented).

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -35,11 +35,11 @@
 	"github.com/fuchsiarouter/fuchsiarouter/weights"
 )
 
-// fakeEntry is an entry with a fixed configuration. It answers a heartbeat with the
+// fakeEntry is an entry with a configuration that only the test changes. It answers a heartbeat with the
 // revisions of the configuration and the forecast shifts, a request for the configuration
 // with the snapshot, and other requests with an empty response.
 type fakeEntry struct {
-	snapshot revision.Snapshot
+	snapshot *atomic.Pointer[revision.Snapshot]
 	shifts   []fuchsiarouter.PeakShift
 	// failures is the number of heartbeats that still fail, heartbeats counts the others.
 	failures   atomic.Int64
@@ -52,14 +52,14 @@
 	}
 	e.heartbeats.Add(1)
 	revisions := map[string]int64{}
-	for section, number := range e.snapshot.Revisions {
+	for section, number := range e.snapshot.Load().Revisions {
 		revisions[string(section)] = number
 	}
 	return peer.HeartbeatResponse{Incarnation: 1, Revisions: revisions, Shifts: e.shifts}, nil
 }
 
 func (e *fakeEntry) Document(context.Context, peer.DocumentRequest) (revision.Snapshot, error) {
-	return e.snapshot, nil
+	return *e.snapshot.Load(), nil
 }
 
 func (e *fakeEntry) Status(context.Context, peer.StatusRequest) (peer.StatusResponse, error) {
@@ -120,6 +120,12 @@
 	replicas     int
 	peaksSection string
 	shifts       []fuchsiarouter.PeakShift
+	// state, private and snapshot are those of the configuration, see publish.
+	state    *revision.State
+	private  ed25519.PrivateKey
+	snapshot atomic.Pointer[revision.Snapshot]
+	// nextDigest is the digest of version v2, which the origin has and only publish declares.
+	nextDigest string
 	// adapter is the digest of the adapter on the version; hasAdapter adds it to
 	// the document. serversSection is the content of the document's servers
 	// section.
@@ -148,6 +154,8 @@
 	var err error
 	f.digest, err = origin.add("rounds/v1", "weights ")
 	f.Expect(err).NotTo(gomega.HaveOccurred())
+	f.nextDigest, err = origin.add("rounds/v2", "heavier ")
+	f.Expect(err).NotTo(gomega.HaveOccurred())
 	f.adapter, err = origin.add("rounds/hospital", "adapter ")
 	f.Expect(err).NotTo(gomega.HaveOccurred())
 	if reportedDigest == "" {
@@ -159,11 +167,13 @@
 	t.Cleanup(engine.Close)
 	public, private, err := ed25519.GenerateKey(nil)
 	f.Expect(err).NotTo(gomega.HaveOccurred())
-	snapshot := f.document(public, private)
-	f.lateEntry = &fakeEntry{snapshot: snapshot, shifts: f.shifts}
+	f.state, f.private = f.document(public, private), private
+	snapshot := f.state.Snapshot()
+	f.snapshot.Store(&snapshot)
+	f.lateEntry = &fakeEntry{snapshot: &f.snapshot, shifts: f.shifts}
 	f.lateEntry.failures.Store(1)
 	var entryAddresses []string
-	for _, entry := range []*fakeEntry{{snapshot: snapshot, shifts: f.shifts}, f.lateEntry} {
+	for _, entry := range []*fakeEntry{{snapshot: &f.snapshot, shifts: f.shifts}, f.lateEntry} {
 		control, err := peer.Listen("127.0.0.1:0", entry)
 		f.Expect(err).NotTo(gomega.HaveOccurred())
 		t.Cleanup(func() { _ = control.Close() })
@@ -187,9 +197,9 @@
 	return f
 }
 
-// document returns the snapshot of a configuration document with one model, whose
+// document returns the state of a configuration document with one model, whose
 // records are signed with the private key and whose owner has the public one.
-func (f *fixture) document(public ed25519.PublicKey, private ed25519.PrivateKey) revision.Snapshot {
+func (f *fixture) document(public ed25519.PublicKey, private ed25519.PrivateKey) *revision.State {
 	adapter := ""
 	if f.hasAdapter {
 		adapter = fmt.Sprintf("[[models.adapters]]\nname = \"hospital\"\nversion = \"v1\"\npath = \"rounds/hospital\"\ndigest = %q\n", f.adapter)
@@ -217,7 +227,7 @@
 	for _, outcome := range state.ApplyBatch(batch) {
 		f.Expect(outcome.Verdict).To(gomega.Equal(revision.VerdictAccepted), outcome.Reason)
 	}
-	return state.Snapshot()
+	return state
 }
 
 // serveEngine is the handler of the fake engine.
@@ -227,7 +237,7 @@
 	}
 	switch r.URL.Path {
 	case "/status":
-		fmt.Fprint(w, `{"incarnation":1,"slots":4}`)
+		fmt.Fprintf(w, `{"incarnation":1,"slots":4,"models":[{"model":"rounds","digest":%q,"state":"ready"}]}`, f.digest)
 	case "/orders/commit":
 		_ = json.NewEncoder(w).Encode(map[string]string{"digest": *f.reportedDigest.Load()})
 	case "/v1/chat/completions":
--- a/agent/fenced_engine.go
+++ b/agent/fenced_engine.go
@@ -7,6 +7,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/engine"
 )
 
 // errSuperseded reports that the engine has received orders from a newer agent
@@ -21,34 +22,71 @@
 // order is not sent when a newer agent process has sent one. Nor is an order to load an
 // adapter or to change the role sent again when it already took effect although its
 // answer was lost.
+//
+// An order without an answer may be executed after later ones. The later ones therefore carry
+// a higher token, so that an engine which checks tokens refuses the late order.
 type fencedEngine struct {
 	fuchsiarouter.Engine
 
 	mu sync.Mutex
-	// token is the fencing token of this process. It starts as the incarnation of
+	// token is the fencing token of the next order. It starts as the incarnation of
 	// the agent.
 	token int64
-	// isTokenKnown is set once the token was compared with the engine's and is
-	// final.
+	// isTokenKnown is set once the token was compared with the engine's.
 	isTokenKnown bool
+	// isOrderUnanswered is set while an order with the token has no answer and may be
+	// executed later.
+	isOrderUnanswered bool
 }
 
-// checkToken returns this process's fencing token, or errSuperseded if the engine's
+// processTokens is the number of fencing tokens that are left to an earlier agent process whose
+// clock was ahead. A process uses a further token after each order without an answer.
+const processTokens = 1 << 20
+
+// checkToken returns the fencing token for the next order, or errSuperseded if the engine's
 // status has a higher one. On the first call, the token is raised above the
 // engine's, because the clock of an earlier agent process may have been ahead. A
-// higher token that appears later belongs to a newer process.
+// higher token that appears later belongs to a newer process. After an order without an
+// answer, the token is raised by one.
 func (e *fencedEngine) checkToken(status fuchsiarouter.EngineStatus) (token int64, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	if !e.isTokenKnown {
-		e.token, e.isTokenKnown = max(e.token, status.FencingToken+1), true
+		e.token, e.isTokenKnown = max(e.token, status.FencingToken+processTokens), true
 	}
 	if status.FencingToken > e.token {
 		return 0, errSuperseded
 	}
+	if e.isOrderUnanswered {
+		e.token, e.isOrderUnanswered = e.token+1, false
+	}
 	return e.token, nil
 }
 
+// recordOutcome notes whether an order with the token has no answer. tookEffect reports whether
+// the engine's status shows that it was executed nevertheless, and then there is no error.
+func (e *fencedEngine) recordOutcome(ctx context.Context, token int64, err error, tookEffect func(fuchsiarouter.EngineStatus) bool) error {
+	if !errors.Is(err, engine.ErrUnanswered) {
+		return err
+	}
+	if status, statusErr := e.Status(ctx); statusErr == nil && tookEffect(status) {
+		return nil
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if token == e.token {
+		e.isOrderUnanswered = true
+	}
+	return err
+}
+
+// isOutdated reports whether later orders carry a higher token than this one.
+func (e *fencedEngine) isOutdated(token int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return token < e.token || e.isOrderUnanswered
+}
+
 // readStatus returns the engine's status and the fencing token for an order, or
 // errSuperseded (see checkToken).
 func (e *fencedEngine) readStatus(ctx context.Context) (status fuchsiarouter.EngineStatus, token int64, err error) {
@@ -60,11 +98,22 @@
 	return status, token, err
 }
 
-// Load implements fuchsiarouter.Engine with the fencing token of this process.
+// Load implements fuchsiarouter.Engine with the fencing token of this process. A load during
+// which another order raised the token begins again.
 func (e *fencedEngine) Load(ctx context.Context, order fuchsiarouter.LoadOrder) (string, error) {
+	for {
+		digest, token, err := e.loadOnce(ctx, order)
+		if !errors.Is(err, engine.ErrFenced) || !e.isOutdated(token) {
+			return digest, err
+		}
+	}
+}
+
+// loadOnce loads a version or adapter with one fencing token, which it returns.
+func (e *fencedEngine) loadOnce(ctx context.Context, order fuchsiarouter.LoadOrder) (digest string, token int64, err error) {
 	status, token, err := e.readStatus(ctx)
 	if err != nil {
-		return "", err
+		return "", token, err
 	}
 	// A version is ordered even when it is ready, because the order also tells the
 	// engine the fencing token of this process. An adapter is not ordered again.
@@ -73,16 +122,14 @@
 		return adapter != "" && status.FencingToken == token && isReady(status, order.Model, order.Digest)
 	}
 	if tookEffect(status) {
-		return order.Digest, nil
+		return order.Digest, token, nil
 	}
 	order.FencingToken = token
-	digest, err := e.Engine.Load(ctx, order)
-	if err != nil {
-		if status, _, readErr := e.readStatus(ctx); readErr == nil && tookEffect(status) {
-			return order.Digest, nil
-		}
+	digest, err = e.Engine.Load(ctx, order)
+	if err == nil {
+		return digest, token, nil
 	}
-	return digest, err
+	return order.Digest, token, e.recordOutcome(ctx, token, err, tookEffect)
 }
 
 // Unload implements fuchsiarouter.Engine with the fencing token of this process.
@@ -91,7 +138,8 @@
 	if err != nil {
 		return err
 	}
-	return e.Engine.Unload(ctx, model, digest, token)
+	err = e.Engine.Unload(ctx, model, digest, token)
+	return e.recordOutcome(ctx, token, err, func(fuchsiarouter.EngineStatus) bool { return false })
 }
 
 // ChangeRole implements fuchsiarouter.Engine with the fencing token of this process.
@@ -103,7 +151,11 @@
 	if status.Role == role && status.FencingToken == token {
 		return nil
 	}
-	return e.Engine.ChangeRole(ctx, role, token)
+	previous := status.Role
+	err = e.Engine.ChangeRole(ctx, role, token)
+	return e.recordOutcome(ctx, token, err, func(status fuchsiarouter.EngineStatus) bool {
+		return status.Role == role && previous != role && status.FencingToken == token
+	})
 }
 
 // isReady reports whether, by its status, the engine has the version or adapter
--- a/agent/fenced_engine_test.go
+++ b/agent/fenced_engine_test.go
@@ -16,7 +16,7 @@
 )
 
 // statefulEngine is the state of an engine that follows every order, whatever its
-// fencing token, as some engines do.
+// fencing token, as some engines do, unless checksFence is set.
 type statefulEngine struct {
 	mu sync.Mutex
 	// fence is the highest fencing token of an order.
@@ -27,6 +27,12 @@
 	// appliedOrders lists the orders that took effect, each as the kind of order, a
 	// space, and the identity or role.
 	appliedOrders []string
+	// checksFence makes the engine refuse an order with a lower fencing token than fence.
+	checksFence bool
+	// delayedOrder, named as in appliedOrders, is an order whose connection is broken before it
+	// takes effect, when it comes for the first time. executeDelayed executes it later.
+	delayedOrder   string
+	executeDelayed func() bool
 	// dropResponses is the number of orders for adapters or roles whose connection
 	// is still to be broken after they took effect.
 	dropResponses int
@@ -68,7 +74,38 @@
 	if body.Base != "" {
 		identity = fuchsiarouter.JoinIdentity(body.Base, body.Digest)
 	}
-	e.fence = max(e.fence, body.Fence)
+	if order == "role" {
+		identity = body.Role
+	}
+	execute := func() bool { return e.execute(order, identity, body.Fence) }
+	if e.delayedOrder == order+" "+identity {
+		e.delayedOrder, e.executeDelayed = "", execute
+		panic(http.ErrAbortHandler)
+	}
+	if !execute() {
+		w.WriteHeader(http.StatusConflict)
+		return true
+	}
+	if order == "load" {
+		return true
+	}
+	if _, adapter := fuchsiarouter.SplitIdentity(identity); e.dropResponses > 0 && (adapter != "" || order == "role") {
+		e.dropResponses--
+		panic(http.ErrAbortHandler)
+	}
+	if order == "commit" {
+		_ = json.NewEncoder(w).Encode(map[string]string{"digest": body.Digest})
+	}
+	return true
+}
+
+// execute carries out an order, and reports whether the engine accepts its fencing token. The
+// caller holds the lock.
+func (e *statefulEngine) execute(order, identity string, fence int64) bool {
+	if e.checksFence && fence < e.fence {
+		return false
+	}
+	e.fence = max(e.fence, fence)
 	switch order {
 	case "load":
 		return true
@@ -77,16 +114,9 @@
 	case "unload":
 		delete(e.ready, identity)
 	case "role":
-		e.role, identity = body.Role, body.Role
+		e.role = identity
 	}
 	e.appliedOrders = append(e.appliedOrders, order+" "+identity)
-	if _, adapter := fuchsiarouter.SplitIdentity(identity); e.dropResponses > 0 && (adapter != "" || order == "role") {
-		e.dropResponses--
-		panic(http.ErrAbortHandler)
-	}
-	if order == "commit" {
-		_ = json.NewEncoder(w).Encode(map[string]string{"digest": body.Digest})
-	}
 	return true
 }
 
--- a/agent/version_manager.go
+++ b/agent/version_manager.go
@@ -60,9 +60,13 @@
 	held map[string]*heldVersion
 	// isWantedKnown is set once the wanted versions are known, by setWanted.
 	isWantedKnown bool
-	// unloadingLeftovers holds the digests of the adapters that the engine had
+	// unloadingLeftovers holds the digests of the versions that the engine had
 	// although they are not held here, and that it was ordered to unload.
 	unloadingLeftovers map[string]bool
+	// unloaded holds the digests of the versions that the engine was ordered to load and
+	// then to unload, and that are not held. The engine may execute the orders in another
+	// sequence.
+	unloaded map[string]bool
 }
 
 // heldVersion is the state of a version or adapter on the backend server.
@@ -83,8 +87,15 @@
 	// isRetired is set when the version takes no more requests and is unloaded after
 	// its last one. It is reset if the version is wanted again before that.
 	isRetired bool
-	// cancelLoad ends the goroutine that fetches and loads the version.
+	// isUnloading is set while the engine is ordered to unload the version, which is not
+	// held any more after that.
+	isUnloading bool
+	// isOrdered is set once the engine was ordered to load the version.
+	isOrdered bool
+	// cancelLoad ends the goroutine that fetches and loads the version, and loadEnded is
+	// closed when it has ended.
 	cancelLoad context.CancelFunc
+	loadEnded  chan struct{}
 }
 
 // newVersionManager returns a manager that holds no versions. The caller sets mayLoad
@@ -92,7 +103,7 @@
 func newVersionManager(log *zap.Logger, engine fuchsiarouter.Engine, transfer *transfer.Transfer, store *weights.Store) *versionManager {
 	return &versionManager{
 		log: log, engine: engine, transfer: transfer, store: store,
-		held: map[string]*heldVersion{}, unloadingLeftovers: map[string]bool{},
+		held: map[string]*heldVersion{}, unloadingLeftovers: map[string]bool{}, unloaded: map[string]bool{},
 	}
 }
 
@@ -165,21 +176,21 @@
 	}
 }
 
-// reconcileStatus compares the adapters in the engine's status with the held ones. A
-// held adapter that the engine lost, on its own or by an order of another agent, is
-// loaded again. An adapter that is not held, left from an earlier agent or after a
-// failed order, is unloaded once the wanted versions are known.
+// reconcileStatus compares the versions in the engine's status with the held ones. A
+// held version that the engine lost, on its own, by a late order or by an order of
+// another agent, is loaded again. Of those that are not held, an adapter, which may be
+// left from an earlier agent, and a version that this agent ordered are unloaded once
+// the wanted versions are known. Versions of an earlier agent may still run requests.
 func (v *versionManager) reconcileStatus(status fuchsiarouter.EngineStatus) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	now := time.Now()
 	for identity, held := range v.held {
-		_, adapter := fuchsiarouter.SplitIdentity(identity)
-		if adapter == "" || held.isRetired || held.state != fuchsiarouter.VersionReady || now.Sub(held.readyAt) < maxStatusLag {
+		if held.isRetired || held.state != fuchsiarouter.VersionReady || now.Sub(held.readyAt) < maxStatusLag {
 			continue
 		}
 		if !isReady(status, held.want.Model, identity) {
-			v.log.Warn("engine has lost an adapter", zap.String("model", held.want.Model), zap.String("digest", identity))
+			v.log.Warn("engine has lost a version", zap.String("model", held.want.Model), zap.String("digest", identity))
 			held.state = fuchsiarouter.VersionVerified
 			v.startLoad(held)
 		}
@@ -189,7 +200,8 @@
 	}
 	for _, version := range status.Versions {
 		_, adapter := fuchsiarouter.SplitIdentity(version.Digest)
-		if adapter == "" || v.held[version.Digest] != nil || v.unloadingLeftovers[version.Digest] {
+		isLeftover := adapter != "" || v.unloaded[version.Digest]
+		if !isLeftover || v.held[version.Digest] != nil || v.unloadingLeftovers[version.Digest] {
 			continue
 		}
 		v.unloadingLeftovers[version.Digest] = true
@@ -197,7 +209,7 @@
 	}
 }
 
-// unloadLeftover orders the engine to unload an adapter that is not held. The adapter
+// unloadLeftover orders the engine to unload a version that is not held. The version
 // stays in unloadingLeftovers for maxStatusLag after that, so that the order is not
 // repeated before the engine's status shows the outcome.
 func (v *versionManager) unloadLeftover(model, identity string) {
@@ -222,11 +234,12 @@
 	for _, want := range wants {
 		wanted[want.Digest] = want
 		if known := v.held[want.Digest]; known != nil {
-			known.isWanted, known.isRetired = true, false
+			v.wantAgain(known)
 			continue
 		}
 		held := &heldVersion{want: want, state: fuchsiarouter.VersionFetching, isWanted: true}
 		v.held[want.Digest] = held
+		delete(v.unloaded, want.Digest)
 		v.startLoad(held)
 	}
 	for digest, held := range v.held {
@@ -240,6 +253,19 @@
 	}
 }
 
+// wantAgain marks a held version as wanted, and loads it if its load was cancelled. A version
+// that the engine is unloading is loaded once it is not held any more. The caller holds the lock.
+func (v *versionManager) wantAgain(held *heldVersion) {
+	if held.isUnloading {
+		return
+	}
+	isCancelled := held.isRetired && held.state != fuchsiarouter.VersionReady
+	held.isWanted, held.isRetired = true, false
+	if isCancelled {
+		v.startLoad(held)
+	}
+}
+
 // retireIfUnneeded retires a version that has not been wanted for unloadDelay, if all
 // wanted versions of its model are ready here, or none is wanted. A retired version
 // is unloaded after its last request. The caller holds the lock.
@@ -262,29 +288,34 @@
 	go v.unload(old)
 }
 
-// unload waits for the last request of a retired version, orders the engine to unload
-// the version, and forgets its chunks. It does nothing if the version is wanted again
-// before the last request ends.
+// unload waits for the last request of a retired version and for the end of its load,
+// orders the engine to unload the version, also if the load was not confirmed, and forgets
+// its chunks. It does nothing if the version is wanted again before that.
 func (v *versionManager) unload(old *heldVersion) {
 	digest := old.want.Digest
 	for v.isRetiredInUse(old) {
 		time.Sleep(drainPollInterval)
 	}
 	v.mu.Lock()
-	isWantedAgain := !old.isRetired
-	if !isWantedAgain {
-		delete(v.held, digest)
-	}
-	isLoaded := old.state == fuchsiarouter.VersionReady
+	loadEnded := old.loadEnded
+	v.mu.Unlock()
+	<-loadEnded
+	v.mu.Lock()
+	old.isUnloading = old.isRetired
+	isWantedAgain, isOrdered := !old.isRetired, old.isOrdered
 	v.mu.Unlock()
 	if isWantedAgain {
 		return
 	}
-	if isLoaded {
+	if isOrdered {
 		if err := v.engine.Unload(context.Background(), old.want.Model, digest, 0); err != nil {
 			v.log.Warn("unload failed", zap.String("digest", digest), zap.Error(err))
 		}
 	}
+	v.mu.Lock()
+	delete(v.held, digest)
+	v.unloaded[digest] = isOrdered
+	v.mu.Unlock()
 	v.transfer.Forget(fuchsiarouter.ContentDigest(digest))
 	v.log.Info("version unloaded", zap.String("model", old.want.Model), zap.String("digest", digest))
 }
@@ -297,14 +328,21 @@
 }
 
 // startLoad fetches and loads a version in the background, and tries again after a
-// failure. It cancels an earlier load of the version. The caller holds the lock.
+// failure. It cancels an earlier load of the version and waits for its end, so that the
+// orders of the two do not mix. The caller holds the lock.
 func (v *versionManager) startLoad(held *heldVersion) {
+	earlierEnded := held.loadEnded
 	if held.cancelLoad != nil {
 		held.cancelLoad()
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	held.cancelLoad = cancel
+	ended := make(chan struct{})
+	held.cancelLoad, held.loadEnded = cancel, ended
 	go func() {
+		defer close(ended)
+		if earlierEnded != nil {
+			<-earlierEnded
+		}
 		for ctx.Err() == nil {
 			err := v.fetchAndLoad(ctx, held)
 			if err == nil || ctx.Err() != nil {
@@ -339,6 +377,9 @@
 	if !ok {
 		return errors.New("the manifest is gone")
 	}
+	v.mu.Lock()
+	held.isOrdered = true
+	v.mu.Unlock()
 	digest, err := v.engine.Load(ctx, fuchsiarouter.LoadOrder{
 		Model:      want.Model,
 		Digest:     want.Digest,
--- a/engine/engine.go
+++ b/engine/engine.go
@@ -2,8 +2,9 @@
 //
 // Requests have the chat-completions format; a streamed response is passed on as it
 // arrives. Orders load and unload versions and adapters and change the role of the
-// engine. They carry a fencing token that increases with each start of the agent, so that
-// an engine which checks the token refuses orders of an earlier process.
+// engine. They carry a fencing token that increases with each start of the agent and after
+// each order without an answer, so that an engine which checks the token refuses orders of an
+// earlier process and those that it gets to execute late.
 package engine
 
 import (
@@ -32,6 +33,10 @@
 // higher fencing token, that is, from a newer process of the agent.
 var ErrFenced = errors.New("engine refused an old fencing token")
 
+// ErrUnanswered reports that an order was sent and no whole answer arrived. The engine may have
+// executed the order, or may execute it later.
+var ErrUnanswered = errors.New("no answer to the order")
+
 // Client calls an engine over HTTP. It implements fuchsiarouter.Engine.
 type Client struct {
 	address string
@@ -222,7 +227,7 @@
 
 // sendOrder sends an order or a status request and decodes the response into target, unless
 // target is nil. Status 409 is returned as ErrFenced, any other error status as an error with
-// the text of the response. The context is only checked before sending; an order without a
+// the text of the response, and a missing response as ErrUnanswered. The context is only checked before sending; an order without a
 // response ends when the agent closes the connections of an unresponsive engine.
 func (c *Client) sendOrder(ctx context.Context, method, path string, body []byte, target any) error {
 	if err := ctx.Err(); err != nil {
@@ -234,13 +239,16 @@
 	request.Header.SetMethod(method)
 	request.SetBodyRaw(body)
 	response, err := c.http.Do(request)
-	if err != nil {
+	if upstream.IsNotSent(err) {
 		return err
 	}
+	if err != nil {
+		return errors.Join(ErrUnanswered, err)
+	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxOrderResponseBytes))
 	if err != nil {
-		return errors.Wrap(err, "read response")
+		return errors.Join(ErrUnanswered, errors.Wrap(err, "read response"))
 	}
 	switch {
 	case response.Status == fasthttp.StatusConflict:
