agent: take no requests while a role change may still be executed

Cause: a role change without an answer counted as not executed. When the configuration went back to the old role meanwhile, the engine's status matched it, so the agent sent nothing more and served requests; the engine could then execute the order and abort them. The same held while the order was in progress. Beside an engine that ignores tokens, an order that is executed after a later answered one still takes effect (not prevented).

--- a/agent/late_order_test.go
+++ b/agent/late_order_test.go
@@ -107,3 +107,15 @@
 		f.Eventually(func() bool { return engine.isLoaded(f.nextDigest) }, "20s").Should(gomega.BeFalse())
 	})
 }
+
+// TestLateRoleChangeCutsNoRequest guards against an unanswered order to change the role that the
+// engine executes while it serves requests again.
+func TestLateRoleChangeCutsNoRequest(t *testing.T) {
+	engine := &statefulEngine{checksFence: true}
+	f := startDelaying(t, engine, func(*fixture) string { return "role prefill" })
+	f.publish(document.SectionServers, "schema = 1\n[[servers]]\nid = \"agent-1\"\nrole = \"prefill\"\n[[servers]]\nid = \"agent-2\"\nrole = \"decode\"\n")
+	f.awaitDelayed()
+	f.publish(document.SectionServers, "schema = 1\n")
+	f.awaitAnswer(f.digest)
+	f.Expect(f.executeDelayed()).To(gomega.BeFalse())
+}
--- a/agent/role_manager.go
+++ b/agent/role_manager.go
@@ -6,9 +6,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-faster/errors"
 	"go.uber.org/zap"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/engine"
 )
 
 // roleRetryInterval is the minimum time between two orders to change the role. It is
@@ -39,15 +41,20 @@
 	// or the order fails. orderedAt is when the last order was sent.
 	isOrderInProgress bool
 	orderedAt         time.Time
+	// unsettled is the role of an order that the engine may still execute: it is in progress
+	// or had no answer. It is empty if there is none. A later order that is answered
+	// settles it.
+	unsettled fuchsiarouter.Role
 }
 
 // advertisedRole returns the role for the heartbeat: the configured one if it is not
-// RoleBoth, otherwise the engine's. It is empty while the engine runs whole requests
-// and is configured to keep doing so, and while neither role is known.
+// RoleBoth, otherwise the engine's or that of an unsettled order. It is empty while the
+// engine runs whole requests and is configured to keep doing so, and while neither role
+// is known.
 func (r *roleManager) advertisedRole() fuchsiarouter.Role {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, role := range []fuchsiarouter.Role{r.wanted, r.actual} {
+	for _, role := range []fuchsiarouter.Role{r.wanted, r.actual, r.unsettled} {
 		if role != "" && role != fuchsiarouter.RoleBoth {
 			return role
 		}
@@ -79,16 +86,20 @@
 }
 
 // orderRoleIfDue orders the engine, in the background, to change to the wanted role
-// if it has another one, no request and no order is in progress, and the last order
-// is at least roleRetryInterval ago. The result shows in the engine's status, so a
-// lost answer needs no handling. The caller holds the lock.
+// if it has another one or an order is unsettled, no request and no order is in
+// progress, and the last order is at least roleRetryInterval ago. The caller holds the
+// lock.
 func (r *roleManager) orderRoleIfDue(now time.Time) {
-	isDue := r.wanted != "" && r.actual != "" && r.wanted != r.actual && !r.isOrderInProgress && now.Sub(r.orderedAt) >= roleRetryInterval
-	if !isDue || r.inProgress.Load() > 0 {
+	isDue := r.wanted != r.actual || r.unsettled != ""
+	isPossible := r.wanted != "" && r.actual != "" && !r.isOrderInProgress && now.Sub(r.orderedAt) >= roleRetryInterval
+	if !isDue || !isPossible || r.inProgress.Load() > 0 {
 		return
 	}
 	r.isOrderInProgress, r.orderedAt = true, now
-	wanted := r.wanted
+	wanted, unsettledBefore := r.wanted, r.unsettled
+	if unsettledBefore == "" || unsettledBefore == fuchsiarouter.RoleBoth {
+		r.unsettled = wanted
+	}
 	go func() {
 		err := r.engine.ChangeRole(context.Background(), wanted, 0)
 		if err != nil {
@@ -97,5 +108,11 @@
 		r.mu.Lock()
 		defer r.mu.Unlock()
 		r.isOrderInProgress = false
+		switch {
+		case err == nil:
+			r.unsettled = ""
+		case !errors.Is(err, engine.ErrUnanswered):
+			r.unsettled = unsettledBefore
+		}
 	}()
 }
