upstream: send no request on a connection with unread input

Cause: before a request was written to a kept connection, only its close was checked. A response that the remote process had sent late, after the one that ended the earlier request, was read as the response to the next request, so a caller of a plain service got the answer to another request. Change: a connection with any unread input counts as stale; nothing is written and the request goes over another connection. A response that arrives between this check and the expected one is not recognized.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
 const (
@@ -56,8 +57,8 @@
 var ErrWaiting = errors.New("request was waiting in the queue")
 
 // errStaleConnection reports a write to an idle connection that the remote side has
-// closed. Nothing was written.
-var errStaleConnection = errors.New("the idle connection was closed by the remote side")
+// closed, or on which it has sent something since the last response. Nothing was written.
+var errStaleConnection = errors.New("the idle connection was closed by the remote side or has unread input")
 
 // Client sends requests over pooled connections. It never retries a request that may have
 // been sent. It is safe for concurrent use.
@@ -255,12 +256,13 @@
 }
 
 // Write implements net.Conn. Before it writes a further request, it checks whether the
-// remote side has closed the connection; in that case nothing is written and the error is
-// errStaleConnection, which proves that the request did not run. Without this check, a
-// request to a restarted process fails while its response is read, and so counts as one
-// that may have run.
+// remote side has closed the connection or sent something that belongs to no request; in
+// that case nothing is written and the error is errStaleConnection, which proves that the
+// request did not run. Without this check, a request to a restarted process fails while its
+// response is read, and so counts as one that may have run, and unread input is returned as
+// the response.
 func (c *trackedConn) Write(buffer []byte) (int, error) {
-	if c.responseRead && peerHasClosed(c.Conn) {
+	if c.responseRead && tcp.HasPendingInput(c.Conn) {
 		return 0, errStaleConnection
 	}
 	if c.responseRead {
@@ -270,26 +272,6 @@
 	return c.Conn.Write(buffer)
 }
 
-// peerHasClosed reports whether the remote side has closed or reset the connection. It
-// consumes no data. It returns false if data can still be read before the close.
-func peerHasClosed(conn net.Conn) bool {
-	socket, ok := conn.(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return false
-	}
-	closed := false
-	err = raw.Control(func(descriptor uintptr) {
-		var peeked [1]byte
-		n, _, err := syscall.Recvfrom(int(descriptor), peeked[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		closed = n == 0 && err == nil || errors.Is(err, syscall.ECONNRESET)
-	})
-	return err == nil && closed
-}
-
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
 	c.client.mu.Lock()
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -1,6 +1,8 @@
 package upstream_test
 
 import (
+	"bufio"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -55,3 +57,62 @@
 	g.Expect(server.Close()).To(gomega.Succeed())
 	g.Expect(upstream.IsNotSent(post())).To(gomega.BeTrue())
 }
+
+// TestExtraResponseIsNotThatOfTheNextRequest guards against a late response on a kept connection
+// that is returned for the next request.
+func TestExtraResponseIsNotThatOfTheNextRequest(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	extraSent := make(chan struct{}, 1)
+	go func() {
+		for isFirst := true; ; isFirst = false {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			go serveEcho(conn, isFirst, extraSent)
+		}
+	}()
+	client := upstream.New(nil)
+	for _, id := range []string{"1", "2"} {
+		request := fasthttp.AcquireRequest()
+		request.SetRequestURI("http://" + listener.Addr().String() + "/" + id)
+		response, err := client.Do(request)
+		fasthttp.ReleaseRequest(request)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		body, err := io.ReadAll(response.Body)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		g.Expect(response.Body.Close()).To(gomega.Succeed())
+		g.Expect(string(body)).To(gomega.Equal("/" + id))
+		if id == "1" {
+			<-extraSent
+			// The client has received the extra response by the end of this time.
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+}
+
+// serveEcho responds to each request on the connection with its path. After the first response
+// it sends an extra one if withExtra is set.
+func serveEcho(conn net.Conn, withExtra bool, extraSent chan<- struct{}) {
+	defer func() { _ = conn.Close() }()
+	reader := bufio.NewReader(conn)
+	for {
+		request, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		respond := func(body string) {
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+		}
+		respond(request.URL.Path)
+		if withExtra {
+			withExtra = false
+			time.Sleep(20 * time.Millisecond)
+			respond("extra")
+			extraSent <- struct{}{}
+		}
+	}
+}
