agent: check the request ID of completions that are no streams

Cause: of a completion that is no stream, only the version was compared, so a late completion of another request on the same version was passed to the caller. Change: another request ID is answered server-lost, like another version. Measured: TestCompletionOfAnotherRequestIsRejected fails before (the completion of r-2 is passed on as that of r-1) and passes with the change.

--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -311,6 +311,24 @@
 	}
 }
 
+// TestCompletionOfAnotherRequestIsRejected guards against a completion that is no stream and
+// answers another request.
+func TestCompletionOfAnotherRequestIsRejected(t *testing.T) {
+	f := startAgent(t, "")
+	complete := func(id string) {
+		f.setAnswer(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Type", "application/json")
+			fmt.Fprintf(w, `{"id":%q,"system_fingerprint":%q,"text":"whole"}`, id, f.digest)
+		})
+	}
+	complete("r-1")
+	f.Eventually(func() string { _, text := f.send(f.digest); return text }, "10s").Should(gomega.ContainSubstring("whole"))
+	complete("r-2")
+	code, text := f.send(f.digest)
+	f.Expect(code).To(gomega.Equal(result.ServerLost.String()))
+	f.Expect(text).NotTo(gomega.ContainSubstring("whole"))
+}
+
 // TestForwardsFormUnchanged guards against parsing a multipart body and sending another one to the
 // service.
 func TestForwardsFormUnchanged(t *testing.T) {
--- a/agent/call_handler.go
+++ b/agent/call_handler.go
@@ -290,17 +290,18 @@
 	ctx.Response.SetBodyRaw(body)
 }
 
-// checkCompletion returns an error if the answer is a completion from another version
-// or adapter than the call names. Some engines fall back to the base version when an
+// checkCompletion returns an error if the answer is a completion of another request, or
+// from another version or adapter than the call names. Some engines fall back to the base version when an
 // adapter is missing.
 func checkCompletion(body []byte, call dispatch.Call) error {
 	var completion struct {
+		ID      string `json:"id"`
 		Version string `json:"system_fingerprint"`
 	}
 	if err := json.Unmarshal(body, &completion); err != nil {
 		return errors.Wrap(err, "answer")
 	}
-	if completion.Version != call.Version {
+	if completion.ID != call.RequestID || completion.Version != call.Version {
 		return errMismatchedEvent
 	}
 	return nil
