agent: forget a version's chunks before it can be held again

Cause: the version was removed from the held ones before its chunks were forgotten, so a fetch of it that began in between lost its pinned manifest. Found by reading; no run showed it. Change: the chunks are forgotten first. Measured: TestLateUnloadKeepsReloadedVersion and the other TestLate tests pass.

--- a/agent/version_manager.go
+++ b/agent/version_manager.go
@@ -312,11 +312,11 @@
 			v.log.Warn("unload failed", zap.String("digest", digest), zap.Error(err))
 		}
 	}
+	v.transfer.Forget(fuchsiarouter.ContentDigest(digest))
 	v.mu.Lock()
 	delete(v.held, digest)
 	v.unloaded[digest] = isOrdered
 	v.mu.Unlock()
-	v.transfer.Forget(fuchsiarouter.ContentDigest(digest))
 	v.log.Info("version unloaded", zap.String("model", old.want.Model), zap.String("digest", digest))
 }
 
