entry: apply a drain request only to the process that it was for

Cause: an entry kept the ID of a drained VM for as long as it ran and told every process with that ID to leave, and a drain request that an entry executed late, after the operator had gone on to another entry, did the same. A daemon that was drained and started again on its VM was drained again at its first heartbeat. Change: the operator's tool names the incarnation that it saw in the status; an entry remembers it and tells no later process to leave. Without an incarnation, the one that the entry knows counts. Packages entry, peer, operator and fleet pass.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -162,7 +162,7 @@
 	e.gossip = &gossip{
 		log: e.log, client: e.peers, seeds: e.settings.EntryAddresses, ownMember: e.ownMember, members: e.members,
 		follower: e.follower, dispatcher: e.dispatcher, requestLeave: e.requestLeave, peakShifts: e.demand.Shifts,
-		leavingVMs: map[string]bool{}, peers: map[string]*peerState{}, peerList: newPeerList(e.incarnation),
+		leavingVMs: map[string]int64{}, peers: map[string]*peerState{}, peerList: newPeerList(e.incarnation),
 	}
 	e.ledger = ledger.New(platformLog, ledger.Settings{
 		Holder:        claim.Holder{ID: e.settings.ID, Incarnation: e.incarnation},
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -540,3 +540,25 @@
 	shortHeartbeat.Incarnation = 2
 	f.Expect(send(peer.HeartbeatRequest{ShortHeartbeat: &shortHeartbeat}).NeedsFullMember).To(gomega.BeTrue(), "a restarted agent")
 }
+
+// TestDrainIsNotForALaterProcess guards against a drain request that stops a process on the VM
+// that has started after the one that was to be drained.
+func TestDrainIsNotForALaterProcess(t *testing.T) {
+	f := startEntry(t)
+	isLeaving := func(incarnation int64) bool {
+		member := fuchsiarouter.Member{ID: "agent-1", Kind: fuchsiarouter.KindAgent, Incarnation: incarnation, State: fuchsiarouter.StateLive}
+		response, err := f.peerClient.Heartbeat(t.Context(), f.entry.ControlAddress(), peer.HeartbeatRequest{Member: member})
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+		return response.Leaving
+	}
+	drain := func() {
+		_, err := f.peerClient.Drain(t.Context(), f.entry.ControlAddress(), peer.DrainRequest{ID: "agent-1", Incarnation: 1})
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	f.Expect(isLeaving(1)).To(gomega.BeFalse())
+	drain()
+	f.Expect(isLeaving(1)).To(gomega.BeTrue())
+	f.Expect(isLeaving(2)).To(gomega.BeFalse(), "drained before the start")
+	drain()
+	f.Expect(isLeaving(2)).To(gomega.BeFalse(), "an earlier drain request that is executed late")
+}
--- a/entry/gossip.go
+++ b/entry/gossip.go
@@ -54,8 +54,9 @@
 	peakShifts func() []fuchsiarouter.PeakShift
 
 	mu sync.Mutex
-	// leavingVMs holds the ids of the VMs that operators have marked as leaving at this entry.
-	leavingVMs map[string]bool
+	// leavingVMs holds, by the id of the VM, the incarnation of the daemon that operators have
+	// marked as leaving at this entry.
+	leavingVMs map[string]int64
 	serials    fleet.SerialCounter
 	// peers holds the state of the exchange with each neighbour, by its control address.
 	peers map[string]*peerState
@@ -374,7 +375,8 @@
 		response.Revisions = nil
 	}
 	g.mu.Lock()
-	response.Leaving = response.Leaving || g.leavingVMs[sender.ID]
+	leavingIncarnation, isLeaving := g.leavingVMs[sender.ID]
+	response.Leaving = response.Leaving || isLeaving && sender.Incarnation <= leavingIncarnation
 	g.mu.Unlock()
 	g.mergeStrikes(request.Member.Strikes)
 	if sender.Kind == fuchsiarouter.KindAgent {
@@ -447,13 +449,21 @@
 // Drain implements peer.Handler. It marks a VM as leaving; the daemon on the VM learns it
 // from the response to its next heartbeat.
 func (g *gossip) Drain(_ context.Context, request peer.DrainRequest) (peer.DrainResponse, error) {
-	known := request.ID == g.ownMember().ID
+	own := g.ownMember()
+	known := request.ID == own.ID && (request.Incarnation == 0 || request.Incarnation == own.Incarnation)
 	if known {
 		g.requestLeave()
 	}
-	g.members.withView(func(view *fleet.Relay) { known = view.MarkLeaving(request.ID) || known })
+	g.members.withView(func(view *fleet.Relay) {
+		member, ok := view.Member(request.ID)
+		if !ok || request.Incarnation != 0 && request.Incarnation != member.Incarnation {
+			return
+		}
+		request.Incarnation = member.Incarnation
+		known = view.MarkLeaving(request.ID) || known
+	})
 	g.mu.Lock()
-	g.leavingVMs[request.ID] = true
+	g.leavingVMs[request.ID] = max(g.leavingVMs[request.ID], request.Incarnation)
 	g.mu.Unlock()
 	return peer.DrainResponse{Known: known}, nil
 }
--- a/operator/drain.go
+++ b/operator/drain.go
@@ -8,6 +8,7 @@
 	"github.com/urfave/cli/v3"
 
 	"github.com/fuchsiarouter/fuchsiarouter/fleet"
+	"github.com/fuchsiarouter/fuchsiarouter/peer"
 )
 
 // drainCommand returns the command that marks a VM as leaving, so that it gets no new
@@ -55,11 +56,22 @@
 }
 
 // requestDrain sends the drain request to one entry after the other until one responds that
-// it knows the VM.
+// it knows the VM. The request names the incarnation of the daemon that is drained, because
+// an entry may execute it after the daemon has restarted.
 func (s *session) requestDrain(ctx context.Context, id string) error {
+	status, err := s.fetchStatus(ctx)
+	if err != nil {
+		return err
+	}
+	request := peer.DrainRequest{ID: id}
+	for _, member := range status.Members {
+		if member.ID == id {
+			request.Incarnation = member.Incarnation
+		}
+	}
 	known := false
-	err := s.tryEntries(ctx, func(address string) error {
-		response, err := s.entryClient.Drain(ctx, address, id)
+	err = s.tryEntries(ctx, func(address string) error {
+		response, err := s.entryClient.Drain(ctx, address, request)
 		if err != nil {
 			return err
 		}
--- a/peer/client.go
+++ b/peer/client.go
@@ -84,10 +84,10 @@
 	return response, err
 }
 
-// Drain asks the entry at the address to mark the VM with the ID as leaving.
-func (c *Client) Drain(ctx context.Context, address, id string) (DrainResponse, error) {
+// Drain asks the entry at the address to mark a VM as leaving.
+func (c *Client) Drain(ctx context.Context, address string, request DrainRequest) (DrainResponse, error) {
 	var response DrainResponse
-	err := c.call(ctx, address, methodDrain, DrainRequest{ID: id}, &response)
+	err := c.call(ctx, address, methodDrain, request, &response)
 	return response, err
 }
 
--- a/peer/message.go
+++ b/peer/message.go
@@ -190,9 +190,12 @@
 }
 
 // DrainRequest asks an entry to mark the VM with the ID as leaving. The daemon on
-// the VM then ends its work and stops.
+// the VM then ends its work and stops. A daemon that has started later than the one with
+// the incarnation is not affected, also if the request is executed late. Without an
+// incarnation, the request is about the one that the entry knows.
 type DrainRequest struct {
-	ID string `json:"id"`
+	ID          string `json:"id"`
+	Incarnation int64  `json:"incarnation,omitempty"`
 }
 
 // DrainResponse is the answer to a DrainRequest. Known reports whether the entry
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -77,7 +77,7 @@
 	status, err := client.Status(ctx, server.Address())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(status.ID).To(gomega.Equal("entry-1"))
-	drained, err := client.Drain(ctx, server.Address(), "agent-1")
+	drained, err := client.Drain(ctx, server.Address(), peer.DrainRequest{ID: "agent-1"})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(drained.Known).To(gomega.BeTrue())
 }
