entry: don't run a forwarded call after its key was answered "did not run"

Cause: an entry that passes a call on to the issuer of its key gives it up when the issuer is silent, and answers outcome-unknown. The bytes may still arrive. Change: the forwarding entry reads the offset of the issuer's table first and sends it along. As for claims in the log, a claim with an offset from before the last release of its key is void, and is answered "did not run". A forwarded call without an offset counts from 0. A forwarded call takes one round trip more; it was not measured.

--- a/entry/atmostonce.go
+++ b/entry/atmostonce.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -24,6 +25,9 @@
 	// issuer of the key. Its value is the id of that entry. A call with this header is not
 	// forwarded again.
 	headerForwarded = "Fuchsiarouter-Forwarded"
+	// headerKeyOffset of a forwarded call is the offset that the issuer of the key had before
+	// the call was sent to it (see ledger.Issuer).
+	headerKeyOffset = "Fuchsiarouter-Key-Offset"
 )
 
 // claimAuthority records how a call ended whose dispatch it has granted. For keys that
@@ -119,7 +123,7 @@
 		Key: key, Fingerprint: r.Fingerprint, FirstSend: string(ctx.Request.Header.Peek(headerFirstSend)) == "true",
 	}
 	if e.issuer.Owns(key) {
-		answer, err := e.issuer.Claim(call)
+		answer, err := e.issuer.Claim(call, e.claimOffset(ctx))
 		return e.issuer, answer, toResultError(err)
 	}
 	deadlineCtx, cancel := context.WithDeadline(context.Background(), r.Deadline)
@@ -130,6 +134,19 @@
 	return e.ledger, answer, toResultError(err)
 }
 
+// claimOffset returns the offset of the issuer from which a call counts: the one that it was
+// forwarded with, or the current one if this entry received it from the caller.
+func (e *Entry) claimOffset(ctx *fasthttp.RequestCtx) int64 {
+	if len(ctx.Request.Header.Peek(headerForwarded)) == 0 {
+		return e.issuer.Offset()
+	}
+	offset, err := strconv.ParseInt(string(ctx.Request.Header.Peek(headerKeyOffset)), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return offset
+}
+
 // toResultError returns the result that an error carries, or an internal error.
 func toResultError(err error) *result.Error {
 	if err == nil {
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -562,3 +562,58 @@
 	drain()
 	f.Expect(isLeaving(2)).To(gomega.BeFalse(), "an earlier drain request that is executed late")
 }
+
+// TestForwardedCallDoesNotRunAfterNotRun guards against a call that another entry has forwarded
+// and that arrives after a later send of its key was answered "did not run".
+func TestForwardedCallDoesNotRunAfterNotRun(t *testing.T) {
+	f := startEntry(t)
+	const path = "/v1/services/booking/x"
+	issueKey := func() string {
+		var issued struct{ Key string }
+		f.Expect(json.Unmarshal([]byte(f.post("/v1/keys", "").text), &issued)).To(gomega.Succeed())
+		return issued.Key
+	}
+	forward := func(key, offset string) callerResponse {
+		return f.post(path, "", "Idempotency-Key", key, "Fuchsiarouter-Forwarded", "entry-2", "Fuchsiarouter-Key-Offset", offset)
+	}
+	keyOffset := func() string {
+		response, err := http.Get("http://" + f.entry.Address() + "/v1/keys/offset")
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+		defer response.Body.Close()
+		text, err := io.ReadAll(response.Body)
+		f.Expect(err).NotTo(gomega.HaveOccurred())
+		return string(text)
+	}
+	key, offset := issueKey(), keyOffset()
+	f.Expect(f.post(path, "", "Idempotency-Key", key).text).To(gomega.ContainSubstring(`"ran":"no"`), "no server is ready")
+
+	var runs atomic.Int64
+	f.startBackend("agent-booking", "booking", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintf(w, `{"run":%d}`, runs.Add(1)) })
+	f.Expect(forward(issueKey(), keyOffset()).text).To(gomega.Equal(`{"run":1}`))
+	f.Expect(forward(key, offset).text).To(gomega.ContainSubstring(`"ran":"no"`))
+	f.Expect(runs.Load()).To(gomega.Equal(int64(1)))
+	f.Expect(f.post(path, "", "Idempotency-Key", key).text).To(gomega.Equal(`{"run":2}`), "a later send")
+}
+
+// TestForwardsToIssuerWithItsOffset guards against a forwarded call without the offset that its
+// issuer had before.
+func TestForwardsToIssuerWithItsOffset(t *testing.T) {
+	f := startEntry(t)
+	issuer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/v1/keys/offset" {
+			fmt.Fprint(w, "7")
+			return
+		}
+		fmt.Fprint(w, r.Header.Get("Fuchsiarouter-Forwarded"), " ", r.Header.Get("Fuchsiarouter-Key-Offset"))
+	}))
+	t.Cleanup(issuer.Close)
+	holder := claim.Holder{ID: "entry-2", Incarnation: 1}
+	member := fuchsiarouter.Member{
+		ID: holder.ID, Kind: fuchsiarouter.KindEntry, Incarnation: holder.Incarnation, Address: issuer.Listener.Addr().String(),
+		Region: "norte", AvailabilityZone: "norte-a", State: fuchsiarouter.StateLive,
+	}
+	_, err := f.peerClient.Heartbeat(t.Context(), f.entry.ControlAddress(), peer.HeartbeatRequest{Member: member})
+	f.Expect(err).NotTo(gomega.HaveOccurred())
+	key := claim.NewIssuedKey(claim.IssuerIDOf(holder), time.Now(), 1)
+	f.Expect(f.post("/v1/services/booking/x", "", "Idempotency-Key", key.String()).text).To(gomega.Equal("entry-1 7"))
+}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -43,6 +44,8 @@
 		e.serve(ctx)
 	case path == "/v1/keys" && ctx.IsPost():
 		e.serveIssueKey(ctx)
+	case path == keyOffsetPath && ctx.IsGet():
+		ctx.SetBodyString(strconv.FormatInt(e.issuer.Offset(), 10))
 	case path == "/v1/entries":
 		e.serveEntries(ctx)
 	case path == "/healthz":
--- a/ledger/issuer.go
+++ b/ledger/issuer.go
@@ -77,9 +77,18 @@
 	return issued && id == i.id
 }
 
-// Claim decides whether the call may be dispatched, like Ledger.Claim. The error
-// is a *result.Error.
-func (i *Issuer) Claim(call Call) (Answer, error) {
+// Offset returns the offset from which a claim that begins now counts.
+func (i *Issuer) Offset() int64 {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.table.NextOffset()
+}
+
+// Claim decides whether the call may be dispatched, like Ledger.Claim. The call begins at the
+// offset, which Offset returned before the call was sent to this process. It is not
+// dispatched if its key was released since, because another send of the key was then
+// answered "did not run". The error is a *result.Error.
+func (i *Issuer) Claim(call Call, offset int64) (Answer, error) {
 	if !i.Owns(call.Key) {
 		return Answer{}, result.MayHaveRun.Error("the process that issued this key is not known")
 	}
@@ -92,13 +101,15 @@
 		Nonce:       nonce,
 		Holder:      i.holder,
 		Fingerprint: call.Fingerprint,
-		Base:        i.table.NextOffset(),
+		Base:        offset,
 	})
 	info := i.table.Lookup(call.Key)
 	switch {
 	case decision == claim.Won:
 		i.grantedCalls[nonce] = call
 		return Answer{Nonce: nonce}, nil
+	case decision == claim.Void:
+		return Answer{}, notRunError()
 	case decision != claim.Lost:
 		return Answer{}, keyExpiredError()
 	case info.Fingerprint != call.Fingerprint:
--- a/standin/experiment/claimentry.go
+++ b/standin/experiment/claimentry.go
@@ -159,7 +159,7 @@
 		}
 		return e.ledger.Claim(e.killed, call)
 	case modeIssuedKeys:
-		return e.issuer.Claim(call)
+		return e.issuer.Claim(call, e.issuer.Offset())
 	default:
 		return ledger.Answer{Nonce: "plain"}, nil
 	}
