upstream: drop the undelivered bytes of aborted requests

Cause: CloseConnections, with which an entry or agent gives up the requests and orders at a silent process, closed the connections without a reset. The kernel then still delivers what the remote machine has not acknowledged, so a call, forwarded call or order could arrive whole and be executed after it was given up and sent elsewhere. Change: the connections are reset. Bytes that are already in the receive buffer of a paused process are still read by it; late orders and forwarded calls are recognized by their token or offset.

--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -202,7 +202,7 @@
 	delete(c.connections, address)
 	c.mu.Unlock()
 	for connection := range connections {
-		_ = connection.Conn.Close()
+		tcp.Abort(connection.Conn)
 	}
 }
 
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -6,9 +6,11 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/go-faster/errors"
 	"github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
@@ -116,3 +118,37 @@
 		}
 	}
 }
+
+// TestAbortedRequestIsNotDeliveredLater guards against bytes of a request that the remote machine
+// has not acknowledged and that arrive after CloseConnections has ended the request.
+func TestAbortedRequestIsNotDeliveredLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	address := listener.Addr().String()
+	// The body does not fit into the receive buffer of a connection that nobody reads.
+	body := make([]byte, 512<<10)
+	client := upstream.New(nil)
+	ended := make(chan error, 1)
+	go func() {
+		request := fasthttp.AcquireRequest()
+		defer fasthttp.ReleaseRequest(request)
+		request.SetRequestURI("http://" + address + "/bookings")
+		request.Header.SetMethod(fasthttp.MethodPost)
+		request.SetBodyRaw(body)
+		_, err := client.Do(request)
+		ended <- err
+	}()
+	// The receive buffer of the remote process is full by the end of this time.
+	time.Sleep(100 * time.Millisecond)
+	client.CloseConnections(address)
+	g.Eventually(ended, "3s").Should(gomega.Receive(gomega.HaveOccurred()))
+	conn, err := listener.Accept()
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer conn.Close()
+	g.Expect(conn.SetReadDeadline(time.Now().Add(3 * time.Second))).To(gomega.Succeed())
+	received, err := io.ReadAll(conn)
+	g.Expect(len(received)).To(gomega.BeNumerically("<", len(body)))
+	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(gomega.BeTrue(), "%v", err)
+}
