exchange: send no request that was cancelled while its connection was opened

Cause: opening a connection takes up to 1.2 s. A request whose caller left in the meantime, or that was taken back, was still written; the reset of the connection came after it. It counted as one that may have run. Change: after the connection is open, a cancelled request is not written, and the error is ErrNotSent. Measured: TestCancelledRequestIsNotSent fails before (50 of 50 cancelled requests reach the server) and passes with the change. Packages exchange and platformtest pass.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -51,7 +51,8 @@
 	smallBodyBytes = 64 << 10
 )
 
-// ErrNotSent reports that no connection was made, so the request cannot have run.
+// ErrNotSent reports that no connection was made, or that the request was cancelled before it was
+// written, so the request cannot have run.
 var ErrNotSent = errors.New("request not sent")
 
 // ErrWithheld reports that the request was not sent since its server takes none any more. It is an
@@ -160,6 +161,10 @@
 		c.closeRemoved(conn)
 		return nil, ErrWithheld
 	}
+	if ctx.Err() != nil {
+		c.closeRemoved(conn)
+		return nil, errors.Wrapf(ErrNotSent, "%v", context.Cause(ctx))
+	}
 	stopAbort := context.AfterFunc(ctx, func() { tcp.Abort(conn.Conn) })
 	response := &Response{client: c, deadline: deadline, conn: conn, stopAbort: stopAbort}
 	_ = conn.SetDeadline(deadline)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -290,6 +290,21 @@
 	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(gomega.BeTrue(), "%v", err)
 }
 
+// TestCancelledRequestIsNotSent guards against a request that is sent although its caller left
+// while the connection was opened.
+func TestCancelledRequestIsNotSent(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := startServer(t, func(int) string { return responseOK })
+	for range 50 {
+		ctx, cancel := context.WithCancel(context.Background())
+		_, err := exchange.New().Send(ctx, s.target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline), matchID,
+			func() bool { cancel(); return true })
+		g.Expect(errors.Is(err, exchange.ErrNotSent)).To(gomega.BeTrue(), "%v", err)
+	}
+	time.Sleep(50 * time.Millisecond)
+	g.Expect(s.requests.Load()).To(gomega.BeZero())
+}
+
 // TestIncarnationsShareNoConnection guards against sending a request for one incarnation
 // of a server on a connection to another one.
 func TestIncarnationsShareNoConnection(t *testing.T) {
