ingress: log how far the stop has come when a request ends

A line about a request that ended around a stop said neither when the stop signal came nor what the caller had got of a stream. The lines now have since-stop, stop-phase and passed-on-bytes; the number of lines stays the same.

--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -40,6 +40,7 @@
 func (i *Ingress) Drain() bool {
 	startedAt := time.Now()
 	end := startedAt.Add(i.settings.StopGrace - drainMargin)
+	i.drainStart.Store(&startedAt)
 	i.drainEnd.Store(&end)
 	i.draining.Store(true)
 	i.log.Info("leaving", zap.Int64("in-progress", i.inFlight.Load()))
@@ -50,7 +51,8 @@
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
 	if err := i.callerServer.ShutdownWithContext(ctx); err != nil {
-		i.log.Warn("grace period ended with requests in progress", zap.Int64("in-progress", i.inFlight.Load()), telemetry.Cause(err))
+		i.log.Warn("grace period ended with requests in progress", zap.Int64("in-progress", i.inFlight.Load()),
+			zap.Int32("connections", i.callerServer.GetOpenConnectionsCount()), telemetry.Cause(err))
 	}
 	i.awaitRequests(end)
 	completed := i.inFlight.Load() <= 0
@@ -71,6 +73,21 @@
 	}
 }
 
+// stopFields returns the log fields that say how far the stop of this entry has come. There are none
+// before the stop signal.
+func (i *Ingress) stopFields() []zap.Field {
+	start, phase := i.drainStart.Load(), "accepting"
+	switch {
+	case start == nil:
+		return nil
+	case i.lifetime.Err() != nil:
+		phase = "ended"
+	case i.rejecting.Load():
+		phase = "refusing"
+	}
+	return []zap.Field{zap.Duration("since-stop", time.Since(*start)), zap.String("stop-phase", phase)}
+}
+
 // checkStop returns the error for a request that must not be sent to a server, since this entry
 // stops: the request could outlast the grace period, and nobody may repeat it.
 func (i *Ingress) checkStop(r *request) *result.Error {
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -96,6 +96,9 @@
 	// partialEventBytes is the number of bytes after the last whole event of a streamed
 	// response that has ended.
 	partialEventBytes int
+	// passedOnBytes is the number of bytes of a streamed response that were passed on to the HTTP
+	// server, which writes them to the caller.
+	passedOnBytes int
 	// finished is set once the end of the request is recorded.
 	finished bool
 }
@@ -353,8 +356,12 @@
 	if r.partialEventBytes > 0 {
 		fields = append(fields, zap.Int("partial-event-bytes", r.partialEventBytes))
 	}
+	if code != result.OK && r.passedOnBytes > 0 {
+		fields = append(fields, zap.Int("passed-on-bytes", r.passedOnBytes))
+	}
 	if detail != "" {
 		fields = append(fields, zap.String("detail", detail))
 	}
+	fields = append(fields, i.stopFields()...)
 	i.requestLog.write("request ended", fields)
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -188,6 +188,8 @@
 	// requests are refused.
 	draining  atomic.Bool
 	rejecting atomic.Bool
+	// drainStart is the time of the stop signal, nil before it.
+	drainStart atomic.Pointer[time.Time]
 	// drainEnd is the time at which the requests in progress are ended, nil unless the daemon
 	// drains.
 	drainEnd atomic.Pointer[time.Time]
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -255,6 +255,7 @@
 		e.ingress.recordSound(e.request)
 	}
 	n := copy(buffer, e.buffered[:e.completeBytes])
+	e.request.passedOnBytes += n
 	remaining := copy(e.buffered, e.buffered[n:])
 	e.buffered, e.completeBytes = e.buffered[:remaining], e.completeBytes-n
 	return n, nil
