ingress: a planned stop waits until responses are written

Callers saw a connection that closed in the middle of a whole answer: a caller that read slowly had the rest of it neither at the end of the grace period nor before. A plain request counts as ended once its response is set, before it is written, and 0.9 s before the end of the grace period Drain returned if no request was in progress. The process ended with the rest of the answer in it.

Drain now waits for the HTTP server, which knows of responses that are being written, up to 0.4 s before the end of the grace period (an eighth of a shorter one). Requests without an answer are still ended 0.9 s before that.

--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -21,11 +22,10 @@
 	// drainMargin is the time before the end of the grace period, when the process is
 	// killed, at which requests still in progress are ended with an error.
 	drainMargin = 900 * time.Millisecond
-	// drainAnswerTime bounds the time for writing these errors to the callers.
-	drainAnswerTime = 300 * time.Millisecond
-	// drainPollInterval is the interval at which the number of requests in progress is
-	// checked.
-	drainPollInterval = 50 * time.Millisecond
+	// exitMargin is the time before the end of the grace period up to which responses are still
+	// written to callers. exitMarginShare bounds it as a fraction of the grace period.
+	exitMargin      = 400 * time.Millisecond
+	exitMarginShare = 0.125
 )
 
 // errStopped is the cause for which requests are cancelled that would outlast the grace period.
@@ -35,42 +35,36 @@
 // directory, the callers learn immediately that the daemon is draining. New requests are
 // still accepted for a while, unless they can outlast the grace period and must not be repeated.
 // Requests in progress run to their end. Those that have not ended shortly before that of the
-// grace period are answered with an error; a stream that has begun is cut. Drain reports whether
-// all ended before.
+// grace period are answered with an error; a stream that has begun is cut. Drain returns when the
+// responses are written, or at the end of the grace period. It reports whether all requests ended
+// by themselves.
 func (i *Ingress) Drain() bool {
-	startedAt := time.Now()
-	end := startedAt.Add(i.settings.StopGrace - drainMargin)
+	startedAt, grace := time.Now(), i.settings.StopGrace
+	end := startedAt.Add(grace - drainMargin)
 	i.drainStart.Store(&startedAt)
 	i.drainEnd.Store(&end)
 	i.draining.Store(true)
 	i.log.Info("leaving", zap.Int64("in-progress", i.inFlight.Load()))
 	i.reportUrgently(startedAt, nil)
-	accept := min(maxDrainAccept, time.Duration(float64(i.settings.StopGrace)*drainAcceptShare))
+	accept := min(maxDrainAccept, time.Duration(float64(grace)*drainAcceptShare))
 	time.Sleep(accept)
 	i.rejecting.Store(true)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	var cancelled atomic.Int64
+	cancelTimer := time.AfterFunc(time.Until(end), func() {
+		cancelled.Store(i.inFlight.Load())
+		i.endLifetime(errStopped)
+	})
+	exitAt := startedAt.Add(grace - min(exitMargin, time.Duration(float64(grace)*exitMarginShare)))
+	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
 	defer cancel()
+	// A request has ended when its response is set. The HTTP server waits until it is written.
 	if err := i.callerServer.ShutdownWithContext(ctx); err != nil {
-		i.log.Warn("grace period ended with requests in progress", zap.Int64("in-progress", i.inFlight.Load()),
+		i.log.Warn("grace period ended with connections open", zap.Int64("in-progress", i.inFlight.Load()),
 			zap.Int32("connections", i.callerServer.GetOpenConnectionsCount()), telemetry.Cause(err))
 	}
-	i.awaitRequests(end)
-	completed := i.inFlight.Load() <= 0
-	if !completed {
-		i.endLifetime(errStopped)
-		i.awaitRequests(time.Now().Add(drainAnswerTime))
-		// A request has ended when its response is set. It is written after that.
-		time.Sleep(drainPollInterval)
-	}
+	cancelTimer.Stop()
 	close(i.stop)
-	return completed
-}
-
-// awaitRequests waits until no request is in progress, but at most until the end.
-func (i *Ingress) awaitRequests(end time.Time) {
-	for i.inFlight.Load() > 0 && time.Now().Before(end) {
-		time.Sleep(drainPollInterval)
-	}
+	return cancelled.Load() <= 0 && i.inFlight.Load() <= 0
 }
 
 // stopFields returns the log fields that say how far the stop of this entry has come. There are none
--- /dev/null
+++ b/standin/platformtest/stop_time_test.go
@@ -0,0 +1,50 @@
+package platformtest_test
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+)
+
+// TestStopWaitsForSlowReaders guards against ending the process while a caller still reads an answer
+// that its server has written whole long ago.
+func TestStopWaitsForSlowReaders(t *testing.T) {
+	for _, example := range []struct{ path, service, part string }{
+		{"/report/x", "plain", "0123456789abcdef"},
+	} {
+		t.Run(example.path, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			f := startFleet(t)
+			f.removeServers(f.plainServers)
+			f.removeServers(f.llmServers)
+			// The buffers of a connection don't hold the answer.
+			body := strings.Repeat(example.part, 7<<20/len(example.part))
+			f.newScriptedServer("s0", example.service, func(request *http.Request) string { return frame(request, "length", "200 OK", body) })
+			awaitRegistrations()
+			conn, err := net.Dial("tcp", f.callerAddress)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(func() { _ = conn.Close() })
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: slow\r\nX-Deadline-Ms: 5000\r\nX-Model: m\r\n"+
+				"Authorization: Bearer k1\r\nContent-Length: 0\r\n\r\n", example.path)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer response.Body.Close()
+			drained := make(chan bool, 1)
+			go func() { drained <- f.ingress.Drain() }()
+			g.Consistently(drained, 2300*time.Millisecond).ShouldNot(gomega.Receive())
+			received, err := io.ReadAll(response.Body)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(len(received)).To(gomega.Equal(len(body)))
+			g.Eventually(drained, waitTimeout).Should(gomega.Receive(gomega.BeTrue()))
+		})
+	}
+}
