ingress: a planned stop lets streams go on until the process must end

Callers saw streams cut 0.9 s before the end of the grace period, though their servers would have ended them in that time.

0.9 s is the margin for answering requests with an error. A stream that has begun can't be answered with one, so the margin gave it nothing. Now only requests without an answer are ended then. Streams and responses that are being written go on until 0.4 s before the end, an eighth of a shorter grace period.

TestStopDoesNotCutStreamsThatEndInTheGracePeriod (2.4 s of 3 s) and the stream of TestStopWaitsForSlowReaders failed before with an unexpected end and pass now.

--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -20,12 +19,14 @@
 	maxDrainAccept   = 3 * time.Second
 	drainAcceptShare = 0.37
 	// drainMargin is the time before the end of the grace period, when the process is
-	// killed, at which requests still in progress are ended with an error.
+	// killed, at which requests without an answer are ended with an error.
 	drainMargin = 900 * time.Millisecond
 	// exitMargin is the time before the end of the grace period up to which responses are still
-	// written to callers. exitMarginShare bounds it as a fraction of the grace period.
+	// written to callers, and streams that have begun go on. exitMarginShare bounds it as a fraction of the grace period.
 	exitMargin      = 400 * time.Millisecond
 	exitMarginShare = 0.125
+	// cutTime is the time for closing the connections of the streams that are cut.
+	cutTime = 50 * time.Millisecond
 )
 
 // errStopped is the cause for which requests are cancelled that would outlast the grace period.
@@ -34,10 +35,10 @@
 // Drain stops the daemon within the grace period. The other entries and, through the
 // directory, the callers learn immediately that the daemon is draining. New requests are
 // still accepted for a while, unless they can outlast the grace period and must not be repeated.
-// Requests in progress run to their end. Those that have not ended shortly before that of the
-// grace period are answered with an error; a stream that has begun is cut. Drain returns when the
-// responses are written, or at the end of the grace period. It reports whether all requests ended
-// by themselves.
+// Requests in progress run to their end. Those that have no answer shortly before the end of the
+// grace period get an error. A stream that has begun goes on for as long as the process may run, and
+// is cut then. Drain returns when the responses are written, or at the end of the grace period. It
+// reports whether all requests ended by themselves.
 func (i *Ingress) Drain() bool {
 	startedAt, grace := time.Now(), i.settings.StopGrace
 	end := startedAt.Add(grace - drainMargin)
@@ -49,11 +50,8 @@
 	accept := min(maxDrainAccept, time.Duration(float64(grace)*drainAcceptShare))
 	time.Sleep(accept)
 	i.rejecting.Store(true)
-	var cancelled atomic.Int64
-	cancelTimer := time.AfterFunc(time.Until(end), func() {
-		cancelled.Store(i.inFlight.Load())
-		i.endLifetime(errStopped)
-	})
+	cancelTimer := time.AfterFunc(time.Until(end), func() { i.endUnanswered(errStopped) })
+	defer cancelTimer.Stop()
 	exitAt := startedAt.Add(grace - min(exitMargin, time.Duration(float64(grace)*exitMarginShare)))
 	ctx, cancel := context.WithDeadline(context.Background(), exitAt)
 	defer cancel()
@@ -62,9 +60,29 @@
 		i.log.Warn("grace period ended with connections open", zap.Int64("in-progress", i.inFlight.Load()),
 			zap.Int32("connections", i.callerServer.GetOpenConnectionsCount()), telemetry.Cause(err))
 	}
-	cancelTimer.Stop()
+	if i.inFlight.Load() > 0 {
+		i.endLifetime(errStopped)
+		time.Sleep(cutTime)
+	}
 	close(i.stop)
-	return cancelled.Load() <= 0 && i.inFlight.Load() <= 0
+	return i.stopped.Load() == 0
+}
+
+// limitToStop cancels a request that has no answer when the entry stops, until its answer begins.
+func (i *Ingress) limitToStop(r *request) {
+	ctx, cancel := context.WithCancelCause(i.lifetime)
+	r.callerCtx, r.cancelCallerCtx = ctx, func() { cancel(nil) }
+	r.liftStopLimit = context.AfterFunc(i.unanswered, func() { cancel(context.Cause(i.unanswered)) })
+}
+
+// beginAnswer makes the request independent of the time at which requests without an answer are
+// ended. It returns false if the request has just been ended.
+func (r *request) beginAnswer() bool {
+	if r.liftStopLimit() {
+		return true
+	}
+	<-r.callerCtx.Done()
+	return false
 }
 
 // stopFields returns the log fields that say how far the stop of this entry has come. There are none
@@ -74,7 +92,7 @@
 	switch {
 	case start == nil:
 		return nil
-	case i.lifetime.Err() != nil:
+	case i.unanswered.Err() != nil:
 		phase = "ended"
 	case i.rejecting.Load():
 		phase = "refusing"
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -65,6 +65,8 @@
 	callerCtx       context.Context
 	cancelCallerCtx context.CancelFunc
 	callerWatch     *caller.Watch
+	// liftStopLimit ends the effect of limitToStop. It returns false if that is no longer possible.
+	liftStopLimit func() bool
 
 	// scheduling is the request in the form that is submitted to the scheduler.
 	scheduling schedule.Request
@@ -136,7 +138,7 @@
 	}
 	failure := i.admit(r)
 	if failure == nil {
-		r.callerCtx, r.cancelCallerCtx = context.WithCancel(i.lifetime)
+		i.limitToStop(r)
 		r.callerWatch = caller.New(ctx.Conn(), callerWatchDelay)
 		r.callerWatch.OnClose(r.cancelCallerCtx)
 		failure = i.forward(r)
@@ -154,6 +156,7 @@
 // stopCallerWatch stops watching the caller's connection and releases callerCtx.
 func (r *request) stopCallerWatch() {
 	r.callerWatch.Close()
+	r.liftStopLimit()
 	r.cancelCallerCtx()
 }
 
@@ -325,6 +328,9 @@
 	}
 	r.finished = true
 	i.inFlight.Add(-1)
+	if code != result.OK && r.callerCtx != nil && errors.Is(context.Cause(r.callerCtx), errStopped) {
+		i.stopped.Add(1)
+	}
 	took := time.Since(r.received)
 	i.metrics.recordResult(code, took)
 	fields := []zap.Field{
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -190,12 +190,17 @@
 	rejecting atomic.Bool
 	// drainStart is the time of the stop signal, nil before it.
 	drainStart atomic.Pointer[time.Time]
-	// drainEnd is the time at which the requests in progress are ended, nil unless the daemon
+	// drainEnd is the time at which requests without an answer are ended, nil unless the daemon
 	// drains.
 	drainEnd atomic.Pointer[time.Time]
 	// lifetime is the context of all requests. endLifetime ends it.
 	lifetime    context.Context
 	endLifetime context.CancelCauseFunc
+	// unanswered is the context of the requests whose answer has not begun. endUnanswered ends it.
+	unanswered    context.Context
+	endUnanswered context.CancelCauseFunc
+	// stopped is the number of requests that were ended by the stop of the daemon.
+	stopped atomic.Int64
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
@@ -229,6 +234,7 @@
 		stop: make(chan struct{}), rosterRead: make(chan struct{}), rosterWaitOver: make(chan struct{}),
 	}
 	i.lifetime, i.endLifetime = context.WithCancelCause(context.Background())
+	i.unanswered, i.endUnanswered = context.WithCancelCause(i.lifetime)
 	time.AfterFunc(rosterWait, func() { close(i.rosterWaitOver) })
 	i.roster = roster.New(i.selfEntry())
 	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{RelayWait: relayPollWait}, log, i.applyView)
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -105,6 +105,11 @@
 			return failure
 		}
 	}
+	if !r.beginAnswer() {
+		e.response.http.Close()
+		i.releaseServer(r, e.response.server.ID, schedule.Cancelled)
+		return r.cancelledAtServer()
+	}
 	e.firstEventAt, e.answerBegan = time.Now(), time.Now()
 	r.timeToFirstEvent = e.firstEventAt.Sub(r.received)
 	i.metrics.recordFirstEvent(r.timeToFirstEvent)
--- a/standin/platformtest/stop_time_test.go
+++ b/standin/platformtest/stop_time_test.go
@@ -11,13 +11,38 @@
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/fuchsiarouter/fuchsiarouter/standin/backendserver"
 )
 
+// TestStopDoesNotCutStreamsThatEndInTheGracePeriod guards against cutting streams well before the end
+// of the grace period of 3 s, although their servers answer them whole within it.
+func TestStopDoesNotCutStreamsThatEndInTheGracePeriod(t *testing.T) {
+	for _, path := range []string{"/llm/stream", "/once/stream"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			f := startFleet(t)
+			for _, server := range f.llmServers {
+				server.SetBehaviour(backendserver.Behaviour{StreamEvents: 5, EventInterval: 520 * time.Millisecond})
+			}
+			drained := make(chan bool, 1)
+			time.AfterFunc(200*time.Millisecond, func() { drained <- f.ingress.Drain() })
+			status, body, _, err := f.send("POST", path, "k1", "{}")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status).To(gomega.Equal(http.StatusOK), body)
+			g.Expect(body).To(gomega.Equal(streamBody(1, 5)))
+			g.Eventually(drained, waitTimeout).Should(gomega.Receive(gomega.BeTrue()))
+		})
+	}
+}
+
 // TestStopWaitsForSlowReaders guards against ending the process while a caller still reads an answer
 // that its server has written whole long ago.
 func TestStopWaitsForSlowReaders(t *testing.T) {
 	for _, example := range []struct{ path, service, part string }{
 		{"/report/x", "plain", "0123456789abcdef"},
+		{"/llm/x", "llm", "id: 1\ndata: 0123456789\n\n"},
 	} {
 		t.Run(example.path, func(t *testing.T) {
 			t.Parallel()
