--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -60,8 +60,10 @@
 	defer cancel()
 	// A request has ended when its response is set. The HTTP server waits until it is written.
 	if err := i.callerServer.ShutdownWithContext(ctx); err != nil {
+		// Outside of a shutdown, the server leaves one connection out for its listener.
+		connections := i.callerServer.GetOpenConnectionsCount() + 1
 		i.log.Warn("grace period ended with connections open", zap.Int64("in-progress", i.inFlight.Load()),
-			zap.Int32("connections", i.callerServer.GetOpenConnectionsCount()), telemetry.Cause(err))
+			zap.Int32("connections", connections), telemetry.Cause(err))
 	}
 	if i.inFlight.Load() > 0 {
 		i.endLifetime(errStopped)
--- a/standin/soak/stop.go
+++ b/standin/soak/stop.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -148,7 +149,7 @@
 		repeated, reloaded, changed, replaced := rng.IntN(3) == 0, rng.IntN(2) == 0, rng.IntN(3) > 0, rng.IntN(2) == 0
 		at(offset, func() { r.stopEntry(e) })
 		if repeated {
-			at(offset+randomDuration(rng, 0, besideStop), func() { e.sendSignal(syscall.SIGTERM) })
+			at(offset+randomDuration(rng, 0, besideStop), func() { r.repeatStop(e) })
 		}
 		if reloaded {
 			at(offset+randomDuration(rng, -besideStop, besideStop), func() { e.sendSignal(syscall.SIGHUP) })
@@ -203,11 +204,9 @@
 // after its end.
 func (r *stopRun) stopEntry(e *entry) {
 	r.mu.Lock()
-	for _, other := range r.stops {
-		if other.entry == e && other.endedAt.IsZero() {
-			r.mu.Unlock()
-			return
-		}
+	if r.isStopping(e) {
+		r.mu.Unlock()
+		return
 	}
 	stopped := &stop{entry: e, at: time.Now()}
 	r.stops = append(r.stops, stopped)
@@ -224,6 +223,20 @@
 	_ = e.start()
 }
 
+// repeatStop sends the stop signal once more to an entry that is stopping.
+func (r *stopRun) repeatStop(e *entry) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.isStopping(e) {
+		e.sendSignal(syscall.SIGTERM)
+	}
+}
+
+// isStopping reports whether a stop of the entry is in progress. The caller holds the lock.
+func (r *stopRun) isStopping(e *entry) bool {
+	return slices.ContainsFunc(r.stops, func(s *stop) bool { return s.entry == e && s.endedAt.IsZero() })
+}
+
 // report compares the requests with the stops and with what the servers recorded.
 func (r *stopRun) report(requests []stopRequest) StopReport {
 	r.fleet.mu.Lock()
