--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -59,6 +59,7 @@
 	readinessAddress string
 	peerAddress      string
 	stopGrace        time.Duration
+	log              *zap.Logger
 	llmServers       []*backendserver.Server
 	plainServers     []*backendserver.Server
 	client           *http.Client
@@ -95,7 +96,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	f := &testFleet{
 		t: t, store: store, callerAddress: allocateAddress(), readinessAddress: allocateAddress(),
-		peerAddress: allocateAddress(), stopGrace: stopGrace, client: &http.Client{Timeout: waitTimeout},
+		peerAddress: allocateAddress(), stopGrace: stopGrace, log: zap.NewNop(), client: &http.Client{Timeout: waitTimeout},
 	}
 	f.publishConfiguration(1, "k1", "k2")
 	for i := range 2 {
@@ -122,7 +123,7 @@
 		DirectoryTTL: 5 * time.Second, ResendRatio: 0.2, ResendAllowance: 100, ResendWindow: 10 * time.Second,
 	}, platform.Dialect{}, platform.NewRegistry(f.store.Address()),
 		ingress.Handlers{Directory: platform.DirectoryHandler, Readiness: platform.ReadinessHandler},
-		zap.NewNop(), telemetry.NewMetrics("ingress"))
+		f.log, telemetry.NewMetrics("ingress"))
 	gomega.NewWithT(f.t).Expect(err).NotTo(gomega.HaveOccurred())
 	return started
 }
--- a/standin/platformtest/stop_time_test.go
+++ b/standin/platformtest/stop_time_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"github.com/fuchsiarouter/fuchsiarouter/standin/backendserver"
 )
@@ -93,3 +95,30 @@
 	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
 	g.Expect(f.allRuns(f.llmServers)).To(gomega.BeEmpty())
 }
+
+// TestCutStreamIsLoggedWithTheStop guards against a log that doesn't tell a stream that the stop has cut
+// from one that broke off for another reason.
+func TestCutStreamIsLoggedWithTheStop(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	for _, server := range f.llmServers {
+		server.SetBehaviour(backendserver.Behaviour{StreamEvents: 5, EventInterval: time.Second})
+	}
+	core, logs := observer.New(zap.InfoLevel)
+	f.log = zap.New(core)
+	f.callerAddress, f.readinessAddress = allocateAddress(), allocateAddress()
+	f.ingress = f.newIngress("e2", f.callerAddress, f.readinessAddress, allocateAddress())
+	g.Eventually(f.isReady, waitTimeout).Should(gomega.BeTrue())
+	drained := make(chan bool, 1)
+	time.AfterFunc(200*time.Millisecond, func() { drained <- f.ingress.Drain() })
+	_, _, _, err := f.sendWithID("cut", "POST", "/llm/stream", "k1", "{}")
+	g.Expect(err).To(gomega.HaveOccurred())
+	g.Eventually(drained, waitTimeout).Should(gomega.Receive(gomega.BeFalse()))
+	lines := logs.FilterMessage("request ended").FilterField(zap.String("request-id", "cut")).All()
+	g.Expect(lines).To(gomega.HaveLen(1))
+	fields := lines[0].ContextMap()
+	g.Expect(fields).To(gomega.HaveKeyWithValue("result", "stream-cut"))
+	g.Expect(fields).To(gomega.HaveKeyWithValue("stop-phase", "ended"))
+	g.Expect(fields["since-stop"]).To(gomega.BeNumerically("~", 2600*time.Millisecond, 400*time.Millisecond))
+	g.Expect(fields["passed-on-bytes"]).To(gomega.BeNumerically(">", 0))
+}
