--- a/standin/platformtest/stop_time_test.go
+++ b/standin/platformtest/stop_time_test.go
@@ -20,6 +20,7 @@
 // TestStopDoesNotCutStreamsThatEndInTheGracePeriod guards against cutting streams well before the end
 // of the grace period of 3 s, although their servers answer them whole within it.
 func TestStopDoesNotCutStreamsThatEndInTheGracePeriod(t *testing.T) {
+	t.Parallel()
 	for _, path := range []string{"/llm/stream", "/once/stream"} {
 		t.Run(path, func(t *testing.T) {
 			t.Parallel()
@@ -42,6 +43,7 @@
 // TestStopWaitsForSlowReaders guards against ending the process while a caller still reads an answer
 // that its server has written whole long ago.
 func TestStopWaitsForSlowReaders(t *testing.T) {
+	t.Parallel()
 	for _, example := range []struct{ path, service, part string }{
 		{"/report/x", "plain", "0123456789abcdef"},
 		{"/llm/x", "llm", "id: 1\ndata: 0123456789\n\n"},
@@ -79,6 +81,7 @@
 // TestStopTakesNoRequestLate guards against taking requests later than 3 s after the stop signal, when
 // the process gets to handle the signal 0.3 s late. Their streams may be cut at the end.
 func TestStopTakesNoRequestLate(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	f := startFleetWithGrace(t, 8*time.Second)
 	conn, err := net.Dial("tcp", f.callerAddress)
@@ -99,6 +102,7 @@
 // TestCutStreamIsLoggedWithTheStop guards against a log that doesn't tell a stream that the stop has cut
 // from one that broke off for another reason.
 func TestCutStreamIsLoggedWithTheStop(t *testing.T) {
+	t.Parallel()
 	g := gomega.NewWithT(t)
 	f := startFleet(t)
 	for _, server := range f.llmServers {
