ingress: a caller that reads slowly doesn't make its server look stalled

While a caller was slow to read a stream, its entry read nothing from the server, saw no progress and after 0.9 s took the server, which was sound, for a stalled one: the stream was sent to a further server as well, which used up its attempts and a part of the resend budget, the first server was cancelled though it had written everything, and no other request went there meanwhile. A stream whose second server broke off then had no attempt left and was cut.

The detector now counts the silence of a server only while the entry reads from it for at least one request, and hedges only such requests. The timeout restarts when the entry begins to read again.

TestSlowCallerIsNoStall, a stream of 14 MB whose caller pauses for 2.4 s: two servers ran it before, one does now.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -252,7 +252,7 @@
 		}
 	}
 	r.activeAttempt = &activeAttempt{
-		request: r, server: server.ID, cancel: cancel, resendable: r.route.IsIdempotent(), isHedge: isHedge,
+		request: r, server: server.ID, cancel: cancel, resendable: r.route.IsIdempotent(), isHedge: isHedge, waiting: true,
 		position: r.position, promptParts: r.PromptParts,
 	}
 	i.stallDetector.add(sentAt, r.activeAttempt)
--- a/ingress/hedge.go
+++ b/ingress/hedge.go
@@ -37,7 +37,7 @@
 // startHedge returns a hedge for an attempt, or nil if the request must not be sent to a further
 // server now. The caller holds the lock of the stall detector and runs the hedge.
 func startHedge(now time.Time, attempt *activeAttempt) *hedge {
-	if !attempt.resendable || attempt.isHedge || attempt.hedge != nil || now.Before(attempt.nextHedgeAt) || !attempt.position.isResumable() {
+	if !attempt.resendable || !attempt.waiting || attempt.isHedge || attempt.hedge != nil || now.Before(attempt.nextHedgeAt) || !attempt.position.isResumable() {
 		return nil
 	}
 	first := attempt.request
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -67,6 +67,9 @@
 	resendable bool
 	// responseBegun is set once a part of the response has arrived.
 	responseBegun bool
+	// waiting is set while this entry reads from the server. It doesn't while the caller of a
+	// stream is slow to read what has arrived.
+	waiting bool
 	// position is how far the stream of the response has arrived.
 	position streamPosition
 	// isHedge is set while the attempt belongs to a hedge that has not replaced the first one.
@@ -128,6 +131,20 @@
 	return !wasSound
 }
 
+// setWaiting records whether this entry reads the response to an attempt, which may be nil. If it
+// read none of the server before, the stall timeout of the server restarts.
+func (s *stallDetector) setWaiting(now time.Time, attempt *activeAttempt, waiting bool) {
+	if attempt == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if server := s.servers[attempt.server]; waiting && server != nil && !server.isAwaited() {
+		server.lastProgress = now
+	}
+	attempt.waiting = waiting
+}
+
 // isSound reports whether an attempt is marked as sound. It may be nil.
 func (s *stallDetector) isSound(attempt *activeAttempt) bool {
 	s.mu.Lock()
@@ -189,6 +206,9 @@
 	defer s.mu.Unlock()
 	report := stallReport{activeServers: len(s.servers)}
 	for id, server := range s.servers {
+		if !server.isAwaited() {
+			continue
+		}
 		begun := server.hasBegunResponse()
 		timeout := stallTimeoutBeforeResponse
 		if begun {
@@ -252,6 +272,17 @@
 	return false
 }
 
+// isAwaited reports whether this entry reads from the server for any of the attempts. The caller
+// holds the lock of the detector.
+func (p *serverProgress) isAwaited() bool {
+	for attempt := range p.attempts {
+		if attempt.waiting {
+			return true
+		}
+	}
+	return false
+}
+
 // checkStalls suspends the servers without progress and hedges their resendable requests.
 // Requests at servers that have not begun to respond for long are cancelled, so that they are
 // sent to other servers. The stalled servers that have begun a response are also reported to the
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -243,6 +243,9 @@
 // Read implements io.Reader. It returns bytes only of events that have arrived whole, except
 // of a response without events. It resumes the stream on another server if the current one is lost.
 func (e *eventStream) Read(buffer []byte) (int, error) {
+	if e.completeBytes == 0 {
+		e.ingress.stallDetector.setWaiting(time.Now(), e.request.activeAttempt, true)
+	}
 	for e.completeBytes == 0 {
 		if e.atEOF {
 			return 0, io.EOF
@@ -259,6 +262,7 @@
 	case now.Sub(e.answerBegan) >= soundAnswerAge:
 		e.ingress.recordSound(e.request)
 	}
+	e.ingress.stallDetector.setWaiting(time.Now(), e.request.activeAttempt, false)
 	n := copy(buffer, e.buffered[:e.completeBytes])
 	e.request.passedOnBytes += n
 	remaining := copy(e.buffered, e.buffered[n:])
--- a/standin/platformtest/silence_test.go
+++ b/standin/platformtest/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -152,3 +153,39 @@
 		g.Expect(body).To(gomega.Equal(streamBody(1, 5)))
 	}
 }
+
+// TestSlowCallerIsNoStall guards against taking a sound server for a stalled one, and sending its
+// request to a further server, since the caller is slow to read the stream.
+func TestSlowCallerIsNoStall(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	f.removeServers(f.llmServers)
+	// The buffers of a connection don't hold the stream.
+	var stream strings.Builder
+	for event := range 700 {
+		_, _ = fmt.Fprintf(&stream, "id: %d\ndata: %s\n\n", event+1, strings.Repeat("x", 20000))
+	}
+	var sends atomic.Int32
+	for index := range 2 {
+		f.newScriptedServer(fmt.Sprint("s", index), "llm", func(request *http.Request) string {
+			sends.Add(1)
+			return frame(request, "chunked", "200 OK", stream.String())
+		})
+	}
+	awaitRegistrations()
+	request, err := http.NewRequest(http.MethodPost, "http://"+f.callerAddress+"/llm/x", strings.NewReader(""))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	request.Host = "h.example"
+	request.Header.Set("X-Attempt-Id", "slow")
+	request.Header.Set("X-Model", "m")
+	request.Header.Set("Authorization", "Bearer k1")
+	response, err := f.client.Do(request)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer response.Body.Close()
+	time.Sleep(2 * silence)
+	body, err := io.ReadAll(response.Body)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(sends.Load()).To(gomega.BeEquivalentTo(1))
+	g.Expect(string(body) == stream.String()).To(gomega.BeTrue())
+}
