platformtest: a connection belongs to the listener that accepted it

Cause: a connection that the crashing server accepted while it crashed took the listener from the server, which had none, so its own crash dereferenced nil. Change: the connection is given the listener that accepted it, and is closed if the server has crashed since. Measured: go vet; the test runs with the others of the package.

--- a/standin/platformtest/deadly_part_test.go
+++ b/standin/platformtest/deadly_part_test.go
@@ -67,9 +67,16 @@
 				return
 			}
 			s.mu.Lock()
-			s.conns[conn] = true
+			isRunning := s.listener == listener
+			if isRunning {
+				s.conns[conn] = true
+			}
 			s.mu.Unlock()
-			go s.serve(conn)
+			if !isRunning {
+				_ = conn.Close()
+				return
+			}
+			go s.serve(conn, listener)
 		}
 	}()
 }
@@ -90,12 +97,9 @@
 	time.AfterFunc(crashDuration, s.start)
 }
 
-// serve answers the requests of a connection.
-func (s *crashingServer) serve(conn net.Conn) {
+// serve answers the requests of a connection that the listener has accepted.
+func (s *crashingServer) serve(conn net.Conn, listener net.Listener) {
 	defer func() { _ = conn.Close() }()
-	s.mu.Lock()
-	listener := s.listener
-	s.mu.Unlock()
 	reader := bufio.NewReader(conn)
 	for {
 		request, err := http.ReadRequest(reader)
