--- a/standin/platformtest/whole_test.go
+++ b/standin/platformtest/whole_test.go
@@ -39,6 +39,8 @@
 	origin *stagedengine.Origin
 	engine *stagedengine.Engine
 	ip     string
+	// versionDeadline is that of the loaders.
+	versionDeadline time.Duration
 
 	mu sync.Mutex
 	// fault chooses the fault of a call. It is called with the lock held.
@@ -46,9 +48,13 @@
 }
 
 // startWholeFleet starts the stand-ins, without a loader.
-func startWholeFleet(t *testing.T) *wholeFleet {
+func startWholeFleet(t *testing.T) *wholeFleet { return startWholeFleetAged(t, time.Minute) }
+
+// startWholeFleetAged is startWholeFleet with an engine that reports that it has started a time
+// before.
+func startWholeFleetAged(t *testing.T, age time.Duration) *wholeFleet {
 	g := gomega.NewWithT(t)
-	f := &wholeFleet{t: t}
+	f := &wholeFleet{t: t, versionDeadline: wholeVersionDeadline}
 	var err error
 	f.store, err = keyedstore.New(allocateAddress())
 	g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -57,7 +63,7 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(f.origin.Close)
 	f.engine, err = stagedengine.New(stagedengine.Settings{
-		Address: allocateAddress(), Model: "m", Pieces: wholePieces, Version: 1, Age: time.Minute, LoadTime: 50 * time.Millisecond,
+		Address: allocateAddress(), Model: "m", Pieces: wholePieces, Version: 1, Age: age, LoadTime: 50 * time.Millisecond,
 		Fault: func(call stagedengine.Call) stagedengine.Fault {
 			f.mu.Lock()
 			defer f.mu.Unlock()
@@ -89,7 +95,7 @@
 	go func() { _ = toEngine.Serve(ctx, listener) }()
 	daemon, err := loader.New(loader.Settings{
 		Name: "l", IP: f.ip, AvailabilityZone: "z", Region: "r", EngineAddress: f.engine.Address(), Service: "llm", LinkBandwidth: 1 << 20,
-		VersionDeadline: wholeVersionDeadline, PieceAddress: allocateAddress(), PeerPort: 1,
+		VersionDeadline: f.versionDeadline, PieceAddress: allocateAddress(), PeerPort: 1,
 	}, platform.NewRegistry(f.store.Address()), platform.NewEngine(listener.Addr().String()), platform.NewPieceOrigin(),
 		zap.NewNop(), telemetry.NewMetrics("loader"))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
--- a/standin/stagedengine/serve.go
+++ b/standin/stagedengine/serve.go
@@ -45,6 +45,8 @@
 	After  func()
 	// Reject answers the call with status 503 instead of carrying it out.
 	Reject bool
+	// Refuse answers the call with status 409 instead of carrying it out.
+	Refuse bool
 	// Corrupt corrupts the content of a Put.
 	Corrupt bool
 	// LoseAnswer closes the connection instead of answering the call.
@@ -97,9 +99,12 @@
 		_ = ctx.Conn().Close()
 		return
 	}
-	if fault.Reject {
+	switch {
+	case fault.Reject:
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
-	} else {
+	case fault.Refuse:
+		ctx.SetStatusCode(fasthttp.StatusConflict)
+	default:
 		e.carryOut(ctx, call, order, arrivedAt, fault.Corrupt)
 	}
 	if fault.After != nil {
