--- a/standin/platformtest/whole_review_test.go
+++ b/standin/platformtest/whole_review_test.go
@@ -44,7 +44,6 @@
 
 // TestExtraAnswerIsTakenForReport guards against settling a late put by a report that lacks the start of the engine.
 func TestExtraAnswerIsTakenForReport(t *testing.T) {
-	skipUnlessKnownRed(t)
 	t.Parallel()
 	const extraList = "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 11\r\n\r\n{\"held\":[]}"
 	f, put := startWholeFleet(t), newLateCall()
