--- a/standin/soak/loader_fleet.go
+++ b/standin/soak/loader_fleet.go
@@ -126,7 +126,8 @@
 	m := &machine{process: process{name: fmt.Sprintf("loader-%d", index), binary: settings.Binary, command: "loader"}}
 	m.faults.reset(settings.Seed, index)
 	engine, err := stagedengine.New(stagedengine.Settings{
-		Address: net.JoinHostPort(machineIP(index), "0"), Model: "m", Pieces: versionPieces, Version: 1, LoadTime: engineLoadTime, Fault: m.faults.draw,
+		Address: net.JoinHostPort(machineIP(index), "0"), Model: "m", Pieces: versionPieces, Version: 1, LoadTime: engineLoadTime,
+		Fault: func(call stagedengine.Call) stagedengine.Fault { return m.faults.draw(m, call) },
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "engine")
