loader, platformtest: in-memory engines report their real start

The engine reported a start in 1970, so the loader waited 5 s for the calls of an earlier process, which a loader and an engine that start together don't need. Change: the engines of these tests report when they were made. The bounds stay.

--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -192,10 +192,12 @@
 
 // fakeEngine is an in-memory model engine that loads immediately.
 type fakeEngine struct {
-	fleet  *fakeFleet
-	id     string
-	mu     sync.Mutex
-	staged map[int][]byte
+	fleet *fakeFleet
+	id    string
+	// startedAt is the Unix time of its start in milliseconds.
+	startedAt int64
+	mu        sync.Mutex
+	staged    map[int][]byte
 	// version is the loaded version, 0 if there is none.
 	version        int
 	leaving        bool
@@ -215,7 +217,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	report := fuchsiarouter.EngineReport{AcceptedOrders: e.acceptedOrders, LoadedVersions: map[string]int{}, StartedAt: 7, Leaving: e.leaving}
+	report := fuchsiarouter.EngineReport{AcceptedOrders: e.acceptedOrders, LoadedVersions: map[string]int{}, StartedAt: e.startedAt, Leaving: e.leaving}
 	if e.version > 0 {
 		report.LoadedVersions[model] = e.version
 	}
@@ -285,7 +287,7 @@
 func (f *fakeFleet) addEngine(t *testing.T, hostNumber int, zone string, loaded bool) *fakeEngine {
 	g := gomega.NewWithT(t)
 	ip := fmt.Sprintf("127.0.0.%d", hostNumber)
-	added := &fakeEngine{fleet: f, id: "i" + ip, staged: map[int][]byte{}}
+	added := &fakeEngine{fleet: f, id: "i" + ip, startedAt: time.Now().UnixMilli(), staged: map[int][]byte{}}
 	server := &catalog.Server{ID: added.id, Service: "llm", Address: ip + ":9", AvailabilityZone: zone, Versions: map[string]int{}}
 	if loaded {
 		added.version = 1
@@ -443,7 +445,7 @@
 	for message.LeavingEngine == nil {
 		message = read()
 	}
-	g.Expect(*message.LeavingEngine).To(gomega.Equal(availability.Server{Address: "127.0.0.2:9", Started: 7}))
+	g.Expect(*message.LeavingEngine).To(gomega.Equal(availability.Server{Address: "127.0.0.2:9", Started: engine.startedAt}))
 	// The engine is started again, and does not say when.
 	engine.mu.Lock()
 	engine.leaving, engine.version = false, 0
--- a/standin/platformtest/endless_loader_test.go
+++ b/standin/platformtest/endless_loader_test.go
@@ -49,7 +49,7 @@
 					pieces, endless.listener.Addr().String()))
 				store.Put(keyedstore.TopicOperator, "version/m", `{"model":"m","version":1}`)
 				store.Put(keyedstore.TopicServers, "own", strings.Replace(fmt.Sprintf(oddRegistration, `"models":[]`), "127.0.0.1:9", ip+":9", 1))
-				engine := fuchsiarouter.StagedEngine(&stagedEngine{staged: map[int][]byte{}})
+				engine := fuchsiarouter.StagedEngine(&stagedEngine{startedAt: time.Now().UnixMilli(), staged: map[int][]byte{}})
 				origin := fuchsiarouter.PieceOrigin(faultyPieces{platform.NewPieceOrigin(), pieces})
 				if faulty == "engine" {
 					engine, origin = platform.NewEngine(endless.listener.Addr().String()), pieceOrigin{}
--- a/standin/platformtest/engine_test.go
+++ b/standin/platformtest/engine_test.go
@@ -11,6 +11,9 @@
 
 // stagedEngine is an in-memory model engine that loads at once.
 type stagedEngine struct {
+	// startedAt is the Unix time of its start in milliseconds.
+	startedAt int64
+
 	mu      sync.Mutex
 	staged  map[int][]byte
 	version int
@@ -20,7 +23,7 @@
 func (e *stagedEngine) Report() (fuchsiarouter.EngineReport, error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return fuchsiarouter.EngineReport{StartedAt: 1, LoadedVersions: map[string]int{"m": e.version}, AcceptedOrders: e.orders}, nil
+	return fuchsiarouter.EngineReport{StartedAt: e.startedAt, LoadedVersions: map[string]int{"m": e.version}, AcceptedOrders: e.orders}, nil
 }
 
 func (e *stagedEngine) StagedPieces(string) ([]int, error) {
--- a/standin/platformtest/odd_records_test.go
+++ b/standin/platformtest/odd_records_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 	"go.uber.org/zap"
@@ -124,7 +125,7 @@
 			ip, _, err := net.SplitHostPort(pieceAddress)
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			store.Put(keyedstore.TopicServers, "own", strings.Replace(fmt.Sprintf(oddRegistration, `"models":[]`), "127.0.0.1:9", ip+":9", 1))
-			engine := &stagedEngine{staged: map[int][]byte{}}
+			engine := &stagedEngine{startedAt: time.Now().UnixMilli(), staged: map[int][]byte{}}
 			daemon, err := loader.New(loader.Settings{
 				Name: "l", IP: ip, AvailabilityZone: "z", Region: "r", EngineAddress: ip + ":9", Service: "llm", LinkBandwidth: 1 << 20,
 				PieceAddress: pieceAddress, PeerPort: 1,
