--- a/ingress/drain.go
+++ b/ingress/drain.go
@@ -70,20 +70,20 @@
 		time.Sleep(cutTime)
 	}
 	close(i.stop)
-	return i.stopped.Load() == 0
+	return i.requestsEndedByStop.Load() == 0
 }
 
-// limitToStop cancels a request that has no answer when the entry stops, until its answer begins.
-func (i *Ingress) limitToStop(r *request) {
+// cancelAtStop cancels a request that has no answer when the entry stops, until its answer begins.
+func (i *Ingress) cancelAtStop(r *request) {
 	ctx, cancel := context.WithCancelCause(i.lifetime)
 	r.callerCtx, r.cancelCallerCtx = ctx, func() { cancel(nil) }
-	r.liftStopLimit = context.AfterFunc(i.unanswered, func() { cancel(context.Cause(i.unanswered)) })
+	r.detachFromStop = context.AfterFunc(i.unanswered, func() { cancel(context.Cause(i.unanswered)) })
 }
 
 // beginAnswer makes the request independent of the time at which requests without an answer are
 // ended. It returns false if the request has just been ended.
 func (r *request) beginAnswer() bool {
-	if r.liftStopLimit() {
+	if r.detachFromStop() {
 		return true
 	}
 	<-r.callerCtx.Done()
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -65,8 +65,8 @@
 	callerCtx       context.Context
 	cancelCallerCtx context.CancelFunc
 	callerWatch     *caller.Watch
-	// liftStopLimit ends the effect of limitToStop. It returns false if that is no longer possible.
-	liftStopLimit func() bool
+	// detachFromStop ends the effect of cancelAtStop. It returns false if that is no longer possible.
+	detachFromStop func() bool
 
 	// scheduling is the request in the form that is submitted to the scheduler.
 	scheduling schedule.Request
@@ -138,7 +138,7 @@
 	}
 	failure := i.admit(r)
 	if failure == nil {
-		i.limitToStop(r)
+		i.cancelAtStop(r)
 		r.callerWatch = caller.New(ctx.Conn(), callerWatchDelay)
 		r.callerWatch.OnClose(r.cancelCallerCtx)
 		failure = i.forward(r)
@@ -156,7 +156,7 @@
 // stopCallerWatch stops watching the caller's connection and releases callerCtx.
 func (r *request) stopCallerWatch() {
 	r.callerWatch.Close()
-	r.liftStopLimit()
+	r.detachFromStop()
 	r.cancelCallerCtx()
 }
 
@@ -329,7 +329,7 @@
 	r.finished = true
 	i.inFlight.Add(-1)
 	if code != result.OK && r.callerCtx != nil && errors.Is(context.Cause(r.callerCtx), errStopped) {
-		i.stopped.Add(1)
+		i.requestsEndedByStop.Add(1)
 	}
 	took := time.Since(r.received)
 	i.metrics.recordResult(code, took)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -199,8 +199,8 @@
 	// unanswered is the context of the requests whose answer has not begun. endUnanswered ends it.
 	unanswered    context.Context
 	endUnanswered context.CancelCauseFunc
-	// stopped is the number of requests that were ended by the stop of the daemon.
-	stopped atomic.Int64
+	// requestsEndedByStop is the number of requests that the stop of the daemon has ended.
+	requestsEndedByStop atomic.Int64
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
--- a/loader/engine_calls.go
+++ b/loader/engine_calls.go
@@ -11,15 +11,6 @@
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
 
-// Kinds of calls that change an engine, in logs and metrics.
-const (
-	callStage = "stage"
-	callOrder = "order"
-)
-
-// callEarlier stands for the calls of an earlier process of the loader.
-const callEarlier = "earlier"
-
 const (
 	// engineAnswerTimeout is how long the loader waits for the answer to a call that changes the
 	// engine. A call without an answer goes on and stays unsettled.
@@ -66,37 +57,6 @@
 	reportedAt     time.Time
 }
 
-// engineCall is a call that is not settled.
-type engineCall struct {
-	kind    string
-	model   string
-	version int
-	// cache holds the pieces of the version, piece is the index of the stored one.
-	cache *pieceCache
-	piece int
-	// expected is the number of accepted orders that an order expects. isOfEarlierIncarnation is set
-	// if the engine has restarted since that number was reported.
-	expected               int64
-	isOfEarlierIncarnation bool
-	sentAt                 time.Time
-	// overdue is set if there was no answer within engineAnswerTimeout, answeredAt when there was
-	// one to a call that stores a piece.
-	overdue    bool
-	answeredAt time.Time
-	// lost is set when the call has ended and is not settled. answering is how long the engine has
-	// answered other calls since, and lastReportAt when the last report in that time was requested.
-	lost         bool
-	answering    time.Duration
-	lastReportAt time.Time
-	// repeatRefused is set once the engine has refused to repeat an order.
-	repeatRefused bool
-}
-
-// newEngineCall describes a call for a version.
-func newEngineCall(kind string, cache *pieceCache) *engineCall {
-	return &engineCall{kind: kind, model: cache.manifest.Model, version: cache.manifest.Version, cache: cache}
-}
-
 func newEngineCalls(engine fuchsiarouter.StagedEngine, log *zap.Logger, counters counters) *engineCalls {
 	earlier := &engineCall{kind: callEarlier, sentAt: time.Now(), lost: true}
 	return &engineCalls{engine: engine, log: log, counters: counters, unsettled: map[*engineCall]struct{}{earlier: {}}}
@@ -214,15 +174,6 @@
 	c.log.Warn("engine call unanswered", append(call.fields(), telemetry.Cause(err))...)
 }
 
-// fields describe a call in the log.
-func (c *engineCall) fields() []zap.Field {
-	fields := []zap.Field{zap.String("call", c.kind), zap.String("model", c.model), zap.Int("version", c.version), zap.Duration("took", time.Since(c.sentAt))}
-	if c.kind == callOrder {
-		return append(fields, zap.Int64("expected", c.expected))
-	}
-	return append(fields, zap.Int("piece", c.piece))
-}
-
 // allows reports whether calls for a version may be sent: all unsettled calls of the model are known
 // to be for that version.
 func (c *engineCalls) allows(cache *pieceCache) bool {
@@ -261,7 +212,7 @@
 	isRestarted := !isFirst && report.StartedAt != c.startedAt
 	if !isFirst && !isRestarted && report.AcceptedOrders > c.acceptedOrders {
 		c.counters.unknownOrders.Inc(report.AcceptedOrders - c.acceptedOrders)
-		c.log.Warn("engine accepted an order without an answer", zap.Int64("orders", report.AcceptedOrders),
+		c.log.Warn("engine accepted an order whose answer was not received", zap.Int64("orders", report.AcceptedOrders),
 			zap.Int64("known", c.acceptedOrders), zap.Int64("born", report.StartedAt), zap.Any("versions", report.LoadedVersions))
 	}
 	for call := range c.unsettled {
@@ -272,8 +223,9 @@
 		if isRestarted {
 			call.isOfEarlierIncarnation = true
 		}
-		endedBefore := isRestarted && call.sentAt.Before(c.reportedAt)
-		if endedBefore || call.isSettledBy(requestedAt, report) {
+		call.countAnswering(requestedAt)
+		isEnded := isRestarted && call.sentAt.Before(c.reportedAt)
+		if isEnded || call.isSettledBy(report) {
 			delete(c.unsettled, call)
 			c.log.Info("engine call settled", append(call.fields(), zap.Int64("orders", report.AcceptedOrders),
 				zap.Int64("born", report.StartedAt))...)
@@ -289,28 +241,12 @@
 	return started.After(from) && !started.After(to)
 }
 
-// isSettledBy reports whether a report of the engine, which was requested at requestedAt, shows that
-// the call can't be carried out any more.
-func (c *engineCall) isSettledBy(requestedAt time.Time, report fuchsiarouter.EngineReport) bool {
-	if c.lost {
-		if !c.lastReportAt.IsZero() {
-			c.answering += min(requestedAt.Sub(c.lastReportAt), maxReportGap)
-		}
-		c.lastReportAt = requestedAt
-	}
-	isLate := c.answering >= lateCallWindow
-	if c.kind == callOrder && !c.isOfEarlierIncarnation {
-		return report.AcceptedOrders > c.expected || isLate && c.repeatRefused
-	}
-	return isLate
-}
-
 // recordSilence records that the engine has not answered a request for a report.
 func (c *engineCalls) recordSilence() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for call := range c.unsettled {
-		call.answering, call.lastReportAt = 0, time.Time{}
+		call.resetAnswering()
 	}
 }
 
--- a/loader/staging.go
+++ b/loader/staging.go
@@ -26,8 +26,8 @@
 	stagedReaders = 8
 )
 
-// errVerifiedLate reports staged pieces that were not all found valid within maxStagedReadAge.
-var errVerifiedLate = errors.New("the staged pieces were not all valid within the time limit")
+// errVerificationTimeout reports staged pieces that were not all found valid within maxStagedReadAge.
+var errVerificationTimeout = errors.New("the staged pieces were not all valid within the time limit")
 
 // stagedReadAgeBuckets are the upper bounds of the buckets of counters.stagedReadAge.
 var stagedReadAgeBuckets = tally.DurationBuckets{
@@ -109,7 +109,7 @@
 	case report.Busy || report.LoadedVersions[cache.manifest.Model] >= cache.manifest.Version:
 		return nil, nil
 	case verifiedIn > maxStagedReadAge:
-		return nil, errVerifiedLate
+		return nil, errVerificationTimeout
 	case l.isStopped():
 		return nil, errStopped
 	}
@@ -170,7 +170,7 @@
 		readAt := boottime.Now()
 		replaced, err := l.replaceCorruptStaged(cache, readers, readAt+maxStagedReadAge)
 		switch {
-		case errors.Is(err, errVerifiedLate):
+		case errors.Is(err, errVerificationTimeout):
 			readers = stagedReaders
 		case err != nil:
 			return 0, err
@@ -180,11 +180,11 @@
 		l.log.Info("staged pieces are read again", zap.Int("version", cache.manifest.Version),
 			zap.Int64("replaced", replaced), zap.Duration("took", boottime.Now()-readAt))
 	}
-	return 0, errVerifiedLate
+	return 0, errVerificationTimeout
 }
 
 // replaceCorruptStaged reads every staged piece, with a number of concurrent readers, and replaces
-// those that are missing or corrupt. It returns how many it has replaced, or errVerifiedLate if
+// those that are missing or corrupt. It returns how many it has replaced, or errVerificationTimeout if
 // it has not ended at the boot time end.
 func (l *Loader) replaceCorruptStaged(cache *pieceCache, readers int, end time.Duration) (int64, error) {
 	var replaced atomic.Int64
@@ -211,7 +211,7 @@
 				}
 			}
 			if boottime.Now() > end {
-				return errVerifiedLate
+				return errVerificationTimeout
 			}
 			return nil
 		})
--- a/standin/platformtest/whole_test.go
+++ b/standin/platformtest/whole_test.go
@@ -238,7 +238,7 @@
 	})
 }
 
-// TestLatePutPrecedesOrder guards against the same between the sending and the acceptance of the order.
+// TestLatePutPrecedesOrder guards against a late put that replaces a verified piece while the order is on its way.
 func TestLatePutPrecedesOrder(t *testing.T) {
 	t.Parallel()
 	runOpenAndClosed(t, func(t *testing.T, closed bool) {
