--- a/agent/agent_test.go
+++ b/agent/agent_test.go
@@ -311,8 +311,7 @@
 	}
 }
 
-// TestCompletionOfAnotherRequestIsRejected guards against a completion that is no stream and
-// answers another request.
+// TestCompletionOfAnotherRequestIsRejected guards against a completion that is no stream and answers another request.
 func TestCompletionOfAnotherRequestIsRejected(t *testing.T) {
 	f := startAgent(t, "")
 	complete := func(id string) {
--- a/agent/late_order_test.go
+++ b/agent/late_order_test.go
@@ -79,8 +79,7 @@
 	}
 }
 
-// TestLateUnloadKeepsReloadedVersion guards against a version that stays lost after the engine
-// executes an unanswered order to unload it once the version is loaded again.
+// TestLateUnloadKeepsReloadedVersion guards against a reloaded version that a late order to unload it removes.
 func TestLateUnloadKeepsReloadedVersion(t *testing.T) {
 	eachEngine(t, func(t *testing.T, engine *statefulEngine) {
 		f := startDelaying(t, engine, func(f *fixture) string { return "unload " + f.digest })
@@ -94,8 +93,7 @@
 	})
 }
 
-// TestLateLoadIsUnloaded guards against a version that occupies the engine's memory after the
-// engine executes an unanswered order to load it once the version is given up.
+// TestLateLoadIsUnloaded guards against a given-up version that a late order loads and nothing unloads.
 func TestLateLoadIsUnloaded(t *testing.T) {
 	eachEngine(t, func(t *testing.T, engine *statefulEngine) {
 		f := startDelaying(t, engine, func(f *fixture) string { return "commit " + f.nextDigest })
@@ -108,8 +106,7 @@
 	})
 }
 
-// TestLateRoleChangeCutsNoRequest guards against an unanswered order to change the role that the
-// engine executes while it serves requests again.
+// TestLateRoleChangeCutsNoRequest guards against a late role change that cuts requests of the serving engine.
 func TestLateRoleChangeCutsNoRequest(t *testing.T) {
 	engine := &statefulEngine{checksFence: true}
 	f := startDelaying(t, engine, func(*fixture) string { return "role prefill" })
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -541,8 +541,7 @@
 	f.Expect(send(peer.HeartbeatRequest{ShortHeartbeat: &shortHeartbeat}).NeedsFullMember).To(gomega.BeTrue(), "a restarted agent")
 }
 
-// TestDrainIsNotForALaterProcess guards against a drain request that stops a process on the VM
-// that has started after the one that was to be drained.
+// TestDrainIsNotForALaterProcess guards against a drain request that stops a later process on the VM.
 func TestDrainIsNotForALaterProcess(t *testing.T) {
 	f := startEntry(t)
 	isLeaving := func(incarnation int64) bool {
@@ -563,8 +562,7 @@
 	f.Expect(isLeaving(2)).To(gomega.BeFalse(), "an earlier drain request that is executed late")
 }
 
-// TestForwardedCallDoesNotRunAfterNotRun guards against a call that another entry has forwarded
-// and that arrives after a later send of its key was answered "did not run".
+// TestForwardedCallDoesNotRunAfterNotRun guards against a forwarded call that runs after its key was answered "did not run".
 func TestForwardedCallDoesNotRunAfterNotRun(t *testing.T) {
 	f := startEntry(t)
 	const path = "/v1/services/booking/x"
@@ -595,8 +593,7 @@
 	f.Expect(f.post(path, "", "Idempotency-Key", key).text).To(gomega.Equal(`{"run":2}`), "a later send")
 }
 
-// TestForwardsToIssuerWithItsOffset guards against a forwarded call without the offset that its
-// issuer had before.
+// TestForwardsToIssuerWithItsOffset guards against a forwarded call without the offset that its issuer had before.
 func TestForwardsToIssuerWithItsOffset(t *testing.T) {
 	f := startEntry(t)
 	issuer := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -290,8 +290,7 @@
 	g.Expect(errors.Is(err, syscall.ECONNRESET)).To(gomega.BeTrue(), "%v", err)
 }
 
-// TestCancelledRequestIsNotSent guards against a request that is sent although its caller left
-// while the connection was opened.
+// TestCancelledRequestIsNotSent guards against sending a request whose caller left while the connection was opened.
 func TestCancelledRequestIsNotSent(t *testing.T) {
 	g := gomega.NewWithT(t)
 	s := startServer(t, func(int) string { return responseOK })
--- a/roster/late_engine_test.go
+++ b/roster/late_engine_test.go
@@ -10,8 +10,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/roster"
 )
 
-// TestDelayedReportKeepsNewerEngineState guards against a delayed report that replaces the state
-// of an engine that its loader has announced since.
+// TestDelayedReportKeepsNewerEngineState guards against a delayed report that replaces a newer state of an engine.
 func TestDelayedReportKeepsNewerEngineState(t *testing.T) {
 	if os.Getenv("KNOWN_RED") == "" {
 		t.Skip("passed over, see KNOWN-RED.txt")
--- a/standin/platformtest/silence_test.go
+++ b/standin/platformtest/silence_test.go
@@ -154,8 +154,7 @@
 	}
 }
 
-// TestSlowCallerIsNoStall guards against taking a sound server for a stalled one, and sending its
-// request to a further server, since the caller is slow to read the stream.
+// TestSlowCallerIsNoStall guards against taking a server for stalled while the caller is slow to read.
 func TestSlowCallerIsNoStall(t *testing.T) {
 	t.Parallel()
 	g := gomega.NewWithT(t)
--- a/standin/platformtest/stop_time_test.go
+++ b/standin/platformtest/stop_time_test.go
@@ -17,8 +17,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/standin/backendserver"
 )
 
-// TestStopDoesNotCutStreamsThatEndInTheGracePeriod guards against cutting streams well before the end
-// of the grace period of 3 s, although their servers answer them whole within it.
+// TestStopDoesNotCutStreamsThatEndInTheGracePeriod guards against cutting streams that end within the grace period.
 func TestStopDoesNotCutStreamsThatEndInTheGracePeriod(t *testing.T) {
 	t.Parallel()
 	for _, path := range []string{"/llm/stream", "/once/stream"} {
@@ -40,8 +39,7 @@
 	}
 }
 
-// TestStopWaitsForSlowReaders guards against ending the process while a caller still reads an answer
-// that its server has written whole long ago.
+// TestStopWaitsForSlowReaders guards against ending the process while a caller reads a whole answer.
 func TestStopWaitsForSlowReaders(t *testing.T) {
 	t.Parallel()
 	for _, example := range []struct{ path, service, part string }{
@@ -78,8 +76,7 @@
 	}
 }
 
-// TestStopTakesNoRequestLate guards against taking requests later than 3 s after the stop signal, when
-// the process gets to handle the signal 0.3 s late. Their streams may be cut at the end.
+// TestStopTakesNoRequestLate guards against taking requests later than 3 s after the stop signal.
 func TestStopTakesNoRequestLate(t *testing.T) {
 	t.Parallel()
 	g := gomega.NewWithT(t)
@@ -99,8 +96,7 @@
 	g.Expect(f.allRuns(f.llmServers)).To(gomega.BeEmpty())
 }
 
-// TestCutStreamIsLoggedWithTheStop guards against a log that doesn't tell a stream that the stop has cut
-// from one that broke off for another reason.
+// TestCutStreamIsLoggedWithTheStop guards against a log that doesn't tell streams cut by the stop from others.
 func TestCutStreamIsLoggedWithTheStop(t *testing.T) {
 	t.Parallel()
 	g := gomega.NewWithT(t)
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -43,8 +43,7 @@
 // pieces after a restart of an engine, 32 an order that was accepted late.
 var loaderSeeds = []uint64{21, 31, 32}
 
-// TestSoakLoaders guards against loads of pieces that are missing, corrupt or of another version
-// when faults of engines, of their calls and of loaders follow each other closely or overlap.
+// TestSoakLoaders guards against loads of missing, corrupt or foreign pieces under overlapping faults.
 func TestSoakLoaders(t *testing.T) {
 	for _, report := range runLoaders(t, loaderSeeds...) {
 		gomega.NewWithT(t).Expect(report.Loads).To(gomega.BeNumerically(">", 3), "seed %d", report.Seed)
@@ -56,8 +55,7 @@
 // failed.
 var convergeSeeds = append(slices.Clone(loaderSeeds), 25, 35)
 
-// TestSoakLoadersConverge guards against loaders that do not bring their engines to the newest version
-// after the last fault.
+// TestSoakLoadersConverge guards against engines that lack the newest version after the last fault.
 func TestSoakLoadersConverge(t *testing.T) {
 	skipKnownRed(t)
 	for _, report := range runLoaders(t, convergeSeeds...) {
@@ -94,8 +92,7 @@
 	}
 }
 
-// TestStopsLoseNoRequest guards against requests that lose their connection without an answer around
-// planned stops which follow each other closely.
+// TestStopsLoseNoRequest guards against requests without an answer around planned stops in series.
 func TestStopsLoseNoRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
 	binary := buildDaemon(t)
--- a/standin/stagedengine/engine_test.go
+++ b/standin/stagedengine/engine_test.go
@@ -18,8 +18,7 @@
 	return engine, platform.NewEngine(engine.Address())
 }
 
-// TestLoadViolations guards against loads of missing or corrupt pieces, or of pieces of another
-// version, that are not recorded, and against sound loads that are.
+// TestLoadViolations guards against violations that are not recorded, and sound loads that are.
 func TestLoadViolations(t *testing.T) {
 	for _, example := range []struct {
 		name string
@@ -65,8 +64,7 @@
 	}
 }
 
-// TestCallsEndWithIncarnation guards against a call that arrived before a restart and is carried out
-// after it.
+// TestCallsEndWithIncarnation guards against a call that is carried out after a restart.
 func TestCallsEndWithIncarnation(t *testing.T) {
 	g := gomega.NewWithT(t)
 	arrived, release := make(chan struct{}), make(chan struct{})
--- a/upstream/upstream_test.go
+++ b/upstream/upstream_test.go
@@ -60,8 +60,7 @@
 	g.Expect(upstream.IsNotSent(post())).To(gomega.BeTrue())
 }
 
-// TestExtraResponseIsNotThatOfTheNextRequest guards against a late response on a kept connection
-// that is returned for the next request.
+// TestExtraResponseIsNotThatOfTheNextRequest guards against a late response that is returned for the next request.
 func TestExtraResponseIsNotThatOfTheNextRequest(t *testing.T) {
 	g := gomega.NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -119,8 +118,7 @@
 	}
 }
 
-// TestAbortedRequestIsNotDeliveredLater guards against bytes of a request that the remote machine
-// has not acknowledged and that arrive after CloseConnections has ended the request.
+// TestAbortedRequestIsNotDeliveredLater guards against bytes of an aborted request that arrive later.
 func TestAbortedRequestIsNotDeliveredLater(t *testing.T) {
 	g := gomega.NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
