mirror, ingress: log the age that a daemon gives to a declared version

The logs that the users keep could not tell whether an entry dates a version wrong, sends a request too late, or only waits too long at an engine: the line about the declaration had no age, and the line about a request no version. Both have them now, with the duration of the read and the age of the copy. No logic changes.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -246,6 +246,7 @@
 	sentAt := time.Now()
 	ctx, cancel := context.WithCancel(r.callerCtx)
 	if r.scheduling.Model != "" {
+		r.versions = i.versionsFor(server.ID, r.scheduling.Model)
 		if timeout, bounded := i.firstEventTimeout(server.ID, r.scheduling.Model); bounded {
 			timer := time.AfterFunc(max(timeout, 0), cancel)
 			defer timer.Stop()
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -92,6 +92,9 @@
 	// lastServer is the ID of the server that the request was sent to last, for the log
 	// line at the end of the request. It is empty if the request was never sent.
 	lastServer string
+	// versions are the weight versions on which the last attempt was based, if the request
+	// is for a model.
+	versions attemptVersions
 	// framing is how the server marks the end of the body of its response, for the log line
 	// at the end of the request. It is empty if there was no response.
 	framing string
@@ -353,6 +356,10 @@
 	if r.lastServer != "" {
 		fields = append(fields, zap.String("server", r.lastServer))
 	}
+	if r.versions.newest > 0 {
+		fields = append(fields, zap.Int("held-version", r.versions.held), zap.Int("newest-version", r.versions.newest),
+			zap.Duration("newest-declared-before", r.versions.newestAge))
+	}
 	if r.workspace != "" {
 		fields = append(fields, zap.String("workspace", r.workspace))
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -406,6 +406,29 @@
 	return 0, false
 }
 
+// attemptVersions are the weight versions that this entry knows when it sends a request for a
+// model to a server.
+type attemptVersions struct {
+	// held is the version that the server holds, 0 if it holds none.
+	held int
+	// newest is the newest declared version, 0 if there is none, and newestAge the time since
+	// its declaration.
+	newest    int
+	newestAge time.Duration
+}
+
+// versionsFor returns the versions for a request for the model that is sent to the server.
+func (i *Ingress) versionsFor(server, model string) attemptVersions {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	versions := attemptVersions{held: i.scheduler.HeldVersion(time.Now(), server, model)}
+	if declared := i.declaredVersions[model]; len(declared) > 0 {
+		target := declared[len(declared)-1]
+		versions.newest, versions.newestAge = target.Version, boottime.Now()-target.DeclaredAt
+	}
+	return versions
+}
+
 // isReady reports whether callers should send new requests to the entry: it is available
 // and not draining. A draining entry still serves the requests that reach it for a while.
 func (i *Ingress) isReady() bool { return !i.draining.Load() && i.isAvailable() }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -397,11 +397,25 @@
 				zap.Int64("offset", record.Offset), zap.Int64("in-force", m.View().Configuration.Version))
 		}
 		if change.Model != "" {
-			m.log.Info("weight version declared", zap.String("model", change.Model), zap.Int("version", change.Version))
+			m.logDeclaration(change, read)
 		}
 	}
 }
 
+// logDeclaration logs a declared version with the age that this daemon gives to it and the
+// times of the read that returned it, so that a wrong age can be traced to its source.
+func (m *Mirror) logDeclaration(change fuchsiarouter.OperatorChange, read topicBatch) {
+	fields := []zap.Field{
+		zap.String("model", change.Model), zap.Int("version", change.Version), zap.Bool("relayed", read.Relayed),
+		zap.Duration("read-took", read.receivedAt-read.sentAt),
+	}
+	if !read.firstRead {
+		fields = append(fields, zap.Duration("declared-before", read.receivedAt-m.View().DeclaredVersions[change.Model].DeclaredAt),
+			zap.Duration("copy-age", m.OperatorAge()))
+	}
+	m.log.Info("weight version declared", fields...)
+}
+
 // serverRegistrations maintains the set of registered servers.
 type serverRegistrations struct {
 	mirror *Mirror
