mirror: keep the date of a record when a topic is read anew

A record that is read again with the same value keeps its time. TestRereadTopicKeepsDateOfVersion failed before: 1.2 s where 4 s are right.

--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"bytes"
 	"sync"
 	"time"
 
@@ -29,29 +30,35 @@
 	changed chan struct{}
 }
 
-// store updates the copy of a topic with the records of a read.
+// store updates the copy of a topic with the records of a read. A record that is read again
+// unchanged, because the topic is read from the start, keeps its time.
 func (c *topicCopies) store(topic fuchsiarouter.Topic, read topicBatch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.topics == nil {
 		c.topics = map[fuchsiarouter.Topic]*topicCopy{}
 	}
-	kept := c.topics[topic]
-	if kept == nil || read.complete {
+	older := c.topics[topic]
+	kept := older
+	if older == nil || read.complete {
 		fresh := &topicCopy{
 			records: map[string]fuchsiarouter.KeyedRecord{}, writtenAt: map[string]time.Duration{}, changed: make(chan struct{}),
 		}
-		if kept != nil {
-			fresh.addRemovals(kept, read)
-			close(kept.changed)
+		if older != nil {
+			fresh.addRemovals(older, read)
+			close(older.changed)
 		}
 		kept = fresh
 		c.topics[topic] = kept
 	}
 	for _, record := range read.Records {
 		if record.Key != "" {
+			writtenAt := read.recordWrittenAt(record)
+			if older.holds(record) {
+				writtenAt = min(writtenAt, older.writtenAt[record.Key])
+			}
 			kept.records[record.Key] = record
-			kept.writtenAt[record.Key] = read.recordWrittenAt(record)
+			kept.writtenAt[record.Key] = writtenAt
 		}
 	}
 	kept.end = read.End
@@ -61,6 +68,15 @@
 	}
 }
 
+// holds reports whether the copy, which may be nil, has the record with the same value.
+func (c *topicCopy) holds(record fuchsiarouter.KeyedRecord) bool {
+	if c == nil {
+		return false
+	}
+	known, ok := c.records[record.Key]
+	return ok && bytes.Equal(known.Value, record.Value)
+}
+
 // addRemovals adds a removal, which is a record without a value, for each key that has a
 // value in the older copy. The records of the read are stored afterwards and replace the
 // removals of the keys that still exist. Readers of the older copy thus learn which keys
--- a/mirror/freeze_test.go
+++ b/mirror/freeze_test.go
@@ -57,3 +57,33 @@
 		})
 	}
 }
+
+// TestRereadTopicKeepsDateOfVersion guards against a relay that dates an old version anew for its readers (VERSION).
+func TestRereadTopicKeepsDateOfVersion(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		m := startMirror(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		declared := time.Now()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "2")
+		time.Sleep(3 * time.Second)
+		registry.change(func() {
+			registry.records[fuchsiarouter.TopicOperator] = append(registry.records[fuchsiarouter.TopicOperator],
+				fuchsiarouter.KeyedRecord{Offset: 2, Key: "config", Value: []byte("2")})
+			registry.firstOffset = 3
+		})
+		time.Sleep(time.Second)
+		g.Expect(m.View().Configuration.Version).To(gomega.Equal(int64(2)))
+		batch, known := m.ReadNewest(fuchsiarouter.TopicOperator)
+		g.Expect(known).To(gomega.BeTrue())
+		ages := map[string]time.Duration{}
+		for _, record := range batch.Records {
+			ages[record.Key] = record.Age
+		}
+		g.Expect(ages["m"]).To(gomega.BeNumerically(">=", time.Since(declared)))
+		g.Expect(ages["config"]).To(gomega.BeNumerically("<", 2*time.Second))
+	})
+}
