mirror, catalog: a version read by a new VM may be from before its boot

A daemon that has read nothing yet dated the versions that it found at boot time 0, in the belief that this is the earliest time. On a VM that has booted after the declaration it is too late: 3 s after the boot, a version declared 10 s before counted as declared 3 s before, so requests could begin on an older version after the deadline (VERSION).

What is not known is now catalog.UnknownTime, before any boot. A record that is read through another daemon for the first time keeps the age which that one knows, in place of none.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"time"
 
 	"github.com/fuchsiarouter/fuchsiarouter/availability"
@@ -41,10 +42,15 @@
 // time after the declaration on, no request may begin on an older one.
 type DeclaredVersion struct {
 	Version int
-	// DeclaredAt is the earliest boot time at which the version may have been declared.
+	// DeclaredAt is the earliest boot time at which the version may have been declared, or
+	// UnknownTime.
 	DeclaredAt time.Duration
 }
 
+// UnknownTime is the boot time of what may have happened at any time, also before the VM was
+// booted. Sums and differences with times of a running VM don't overflow.
+const UnknownTime = time.Duration(math.MinInt64 / 2)
+
 // View is all that a daemon knows of the platform. It is immutable.
 type View struct {
 	// Configuration is nil until the first one was read.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -357,8 +357,10 @@
 		fields = append(fields, zap.String("server", r.lastServer))
 	}
 	if r.versions.newest > 0 {
-		fields = append(fields, zap.Int("held-version", r.versions.held), zap.Int("newest-version", r.versions.newest),
-			zap.Duration("newest-declared-before", r.versions.newestAge))
+		fields = append(fields, zap.Int("held-version", r.versions.held), zap.Int("newest-version", r.versions.newest))
+		if r.versions.newestDeclaredAt != catalog.UnknownTime {
+			fields = append(fields, zap.Duration("newest-declared-before", r.versions.sentAt-r.versions.newestDeclaredAt))
+		}
 	}
 	if r.workspace != "" {
 		fields = append(fields, zap.String("workspace", r.workspace))
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -411,20 +411,21 @@
 type attemptVersions struct {
 	// held is the version that the server holds, 0 if it holds none.
 	held int
-	// newest is the newest declared version, 0 if there is none, and newestAge the time since
-	// its declaration.
-	newest    int
-	newestAge time.Duration
+	// newest is the newest declared version, 0 if there is none.
+	newest int
+	// newestDeclaredAt is when the newest version was declared, and sentAt when the request is
+	// sent, both as boot times.
+	newestDeclaredAt, sentAt time.Duration
 }
 
 // versionsFor returns the versions for a request for the model that is sent to the server.
 func (i *Ingress) versionsFor(server, model string) attemptVersions {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	versions := attemptVersions{held: i.scheduler.HeldVersion(time.Now(), server, model)}
+	versions := attemptVersions{held: i.scheduler.HeldVersion(time.Now(), server, model), sentAt: boottime.Now()}
 	if declared := i.declaredVersions[model]; len(declared) > 0 {
 		target := declared[len(declared)-1]
-		versions.newest, versions.newestAge = target.Version, boottime.Now()-target.DeclaredAt
+		versions.newest, versions.newestDeclaredAt = target.Version, target.DeclaredAt
 	}
 	return versions
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -184,25 +184,26 @@
 	sentAt     time.Duration
 	receivedAt time.Duration
 	// unchangedUntil is the latest boot time at which the topic is known to have had no record
-	// that the copy lacked before the read, 0 when nothing is known.
+	// that the copy lacked before the read, or catalog.UnknownTime. It can be later than the
+	// time of confirmation, which counts from the sending of a read.
 	unchangedUntil time.Duration
 }
 
 // recordWrittenAt returns the earliest boot time at which a record of the batch may have
-// been written, 0 when nothing is known. The time of the response says nothing about it, since
+// been written, or catalog.UnknownTime. The time of the response says nothing about it, since
 // the process may have stood still, or the response may have been held up. In a relayed read the
 // record itself carries its age.
 func (b *topicBatch) recordWrittenAt(record fuchsiarouter.KeyedRecord) time.Duration {
-	if b.Relayed && b.unchangedUntil > 0 {
+	if b.Relayed {
 		return max(b.sentAt-record.Age, b.unchangedUntil)
 	}
 	return b.unchangedUntil
 }
 
-// endsBefore returns the latest boot time at which the topic is known to have had no record
+// noLaterRecordAt returns the latest boot time at which the topic is known to have had no record
 // after those of the batch. A read of the registry that waits, and returns no record, was
 // answered at the end of its wait.
-func (b *topicBatch) endsBefore(wait time.Duration) time.Duration {
+func (b *topicBatch) noLaterRecordAt(wait time.Duration) time.Duration {
 	if b.Relayed || b.complete || len(b.Records) > 0 {
 		return b.sentAt - b.Age
 	}
@@ -216,7 +217,7 @@
 func (m *Mirror) followTopic(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(topicBatch)) {
 	next, complete, failing := int64(0), true, false
 	selector := sourceSelector{}
-	unchangedUntil := time.Duration(0)
+	unchangedUntil := catalog.UnknownTime
 	startedAt := m.settings.Clock()
 	for {
 		sources := m.sources()
@@ -287,7 +288,7 @@
 			confirmed.Store(at)
 		}
 		if !read.partial {
-			unchangedUntil = max(unchangedUntil, read.endsBefore(readWait))
+			unchangedUntil = max(unchangedUntil, read.noLaterRecordAt(readWait))
 		}
 		pause := interval
 		if relayed && m.settings.RelayWait > 0 {
@@ -403,9 +404,8 @@
 		zap.String("model", change.Model), zap.Int("version", change.Version), zap.Bool("relayed", read.Relayed),
 		zap.Duration("read-took", read.receivedAt-read.sentAt),
 	}
-	if read.unchangedUntil > 0 {
-		fields = append(fields, zap.Duration("declared-before", read.receivedAt-m.View().DeclaredVersions[change.Model].DeclaredAt),
-			zap.Duration("copy-age", m.OperatorAge()))
+	if declared := m.View().DeclaredVersions[change.Model]; declared.Version == change.Version && declared.DeclaredAt != catalog.UnknownTime {
+		fields = append(fields, zap.Duration("declared-before", read.receivedAt-declared.DeclaredAt), zap.Duration("copy-age", m.OperatorAge()))
 	}
 	m.log.Info("weight version declared", fields...)
 }
