mirror: a version that is written again keeps its date for other daemons

A record that is removed and written again, or written again with other bytes for the same version, still got a new date in the copy for other daemons, and one that learnt the version there dated it late (VERSION).

The copy now has the date that the daemon itself gives to the version.

--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -1,7 +1,6 @@
 package mirror
 
 import (
-	"bytes"
 	"sync"
 	"time"
 
@@ -30,8 +29,8 @@
 	changed chan struct{}
 }
 
-// store updates the copy of a topic with the records of a read. A record that is read again
-// unchanged, because the topic is read from the start, keeps its time.
+// store updates the copy of a topic with the records of a read. The record of a version that was
+// known before has the time of its declaration, also when the record is written or read again.
 func (c *topicCopies) store(topic fuchsiarouter.Topic, read topicBatch) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -53,9 +52,9 @@
 	}
 	for _, record := range read.Records {
 		if record.Key != "" {
-			writtenAt := read.recordWrittenAt(record)
-			if older.holds(record) {
-				writtenAt = min(writtenAt, older.writtenAt[record.Key])
+			writtenAt, ok := read.declaredAt[record.Key]
+			if !ok {
+				writtenAt = read.recordWrittenAt(record)
 			}
 			kept.records[record.Key] = record
 			kept.writtenAt[record.Key] = writtenAt
@@ -68,15 +67,6 @@
 	}
 }
 
-// holds reports whether the copy, which may be nil, has the record with the same value.
-func (c *topicCopy) holds(record fuchsiarouter.KeyedRecord) bool {
-	if c == nil {
-		return false
-	}
-	known, ok := c.records[record.Key]
-	return ok && bytes.Equal(known.Value, record.Value)
-}
-
 // addRemovals adds a removal, which is a record without a value, for each key that has a
 // value in the older copy. The records of the read are stored afterwards and replace the
 // removals of the keys that still exist. Readers of the older copy thus learn which keys
--- a/mirror/date_test.go
+++ b/mirror/date_test.go
@@ -52,3 +52,23 @@
 		})
 	}
 }
+
+// TestRewrittenVersionKeepsDate guards against a relay that dates a version anew when its record is written again (VERSION).
+func TestRewrittenVersionKeepsDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "2")
+		m := startMirror(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		declared := time.Now()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "3")
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicOperator, "m", " 3")
+		time.Sleep(time.Second)
+		batch, _ := m.ReadNewest(fuchsiarouter.TopicOperator)
+		g.Expect(batch.Records).To(gomega.HaveLen(1))
+		g.Expect(batch.Records[0].Age).To(gomega.BeNumerically(">=", time.Since(declared)))
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -187,6 +187,10 @@
 	// that the copy lacked before the read, or catalog.UnknownTime. It can be later than the
 	// time of confirmation, which counts from the sending of a read.
 	unchangedUntil time.Duration
+	// declaredAt holds, by key, when the versions were declared whose records are in the batch.
+	// A version may have been known before the read, so its date may be earlier than what
+	// recordWrittenAt returns.
+	declaredAt map[string]time.Duration
 }
 
 // recordWrittenAt returns the earliest boot time at which a record of the batch may have
@@ -234,7 +238,7 @@
 		if err == nil && read.Relayed && int64(read.sentAt-read.Age) <= confirmed.Load() {
 			err = errStale
 		}
-		read.unchangedUntil = unchangedUntil
+		read.unchangedUntil, read.declaredAt = unchangedUntil, map[string]time.Duration{}
 		var expired *fuchsiarouter.ExpiredError
 		switch {
 		case errors.As(err, &expired):
@@ -392,6 +396,9 @@
 				zap.Int64("offset", record.Offset), zap.Int64("in-force", m.View().Configuration.Version))
 		}
 		if change.Model != "" {
+			if declared := m.View().DeclaredVersions[change.Model]; declared.Version == change.Version {
+				read.declaredAt[record.Key] = declared.DeclaredAt
+			}
 			m.logDeclaration(change, read)
 		}
 	}
