mirror: tests of the bounds on the date of a version

The lower bounds are checked as well, so a date of 0 doesn't pass. TestVersionAfterFailedReads had none for the version that is declared in an outage.

--- a/mirror/date_test.go
+++ b/mirror/date_test.go
@@ -14,6 +14,16 @@
 	"github.com/fuchsiarouter/fuchsiarouter/mirror"
 )
 
+// changedReader is a reader whose reads are changed by a test.
+type changedReader struct {
+	fuchsiarouter.TopicReader
+	read func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error)
+}
+
+func (c *changedReader) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	return c.read(c.TopicReader, topic, from, wait)
+}
+
 // startFollower starts a mirror that reads from the sources only.
 func startFollower(registry fuchsiarouter.Registry, settings mirror.Settings, sources ...fuchsiarouter.TopicReader) *mirror.Mirror {
 	return mirror.New(registry, func() []fuchsiarouter.TopicReader { return sources }, settings, zap.NewNop(), func(*catalog.View) {})
@@ -72,3 +82,103 @@
 		g.Expect(batch.Records[0].Age).To(gomega.BeNumerically(">=", time.Since(declared)))
 	})
 }
+
+// TestVersionDateThroughRelays guards against dates that become later, or much earlier, from relay to relay (VERSION).
+func TestVersionDateThroughRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "1")
+		clock := clockSince(time.Now(), 0)
+		reader := startFollower(registry, mirror.Settings{Clock: clock}, registry)
+		defer reader.Close()
+		second := startFollower(registry, mirror.Settings{Clock: clock, RelayWait: 250 * time.Millisecond}, mirrorSource{reader})
+		defer second.Close()
+		third := startFollower(registry, mirror.Settings{Clock: clock, OperatorWait: 2 * time.Second}, mirrorSource{second})
+		defer third.Close()
+		time.Sleep(2 * time.Second)
+		for version := 2; version <= 100; version++ {
+			time.Sleep(time.Duration(version*37%400) * time.Millisecond)
+			declared := clock()
+			put(t, registry, fuchsiarouter.TopicOperator, "m", strconv.Itoa(version))
+			time.Sleep(3 * time.Second)
+			for _, m := range []*mirror.Mirror{reader, second, third} {
+				g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically("<=", declared))
+				g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically(">=", declared-operatorWait))
+			}
+		}
+	})
+}
+
+// TestPartialReadsDoNotDateVersionLate guards against a date after records that were read in several parts (VERSION).
+func TestPartialReadsDoNotDateVersionLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		clock := clockSince(time.Now(), 0)
+		m := startFollower(registry, mirror.Settings{Clock: clock}, registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		registry.change(func() {
+			registry.maxRecords = 1
+			for version := 2; version <= 300; version++ {
+				registry.records[fuchsiarouter.TopicOperator] = append(registry.records[fuchsiarouter.TopicOperator],
+					fuchsiarouter.KeyedRecord{Offset: int64(version - 1), Key: "config", Value: []byte(strconv.Itoa(version))})
+			}
+			registry.records[fuchsiarouter.TopicOperator] = append(registry.records[fuchsiarouter.TopicOperator],
+				fuchsiarouter.KeyedRecord{Offset: 300, Key: "m", Value: []byte("2")})
+		})
+		declared := clock()
+		time.Sleep(2 * time.Second)
+		g.Expect(m.View().DeclaredVersions["m"].Version).To(gomega.Equal(2))
+		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically("<=", declared))
+	})
+}
+
+// TestEarlyResponseDoesNotDateVersionLate guards against counting the whole wait of a long poll that ended before it (VERSION).
+func TestEarlyResponseDoesNotDateVersionLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		clock := clockSince(time.Now(), 0)
+		m := startFollower(registry, mirror.Settings{Clock: clock}, &changedReader{TopicReader: registry,
+			read: func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+				return next.Read(topic, from, min(wait, 20*time.Millisecond))
+			}})
+		defer m.Close()
+		time.Sleep(2*time.Second + 5*time.Millisecond)
+		declared := clock()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "2")
+		time.Sleep(time.Second)
+		g.Expect(m.View().DeclaredVersions["m"].Version).To(gomega.Equal(2))
+		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically("<=", declared))
+	})
+}
+
+// slowNewest holds up the responses to reads of the newest records.
+type slowNewest struct{ *memoryRegistry }
+
+func (s slowNewest) ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, error) {
+	batch, err := s.memoryRegistry.ReadNewest(topic)
+	time.Sleep(350 * time.Millisecond)
+	return batch, err
+}
+
+// TestSlowReadOfEmptyTopicDoesNotDateVersionLate guards against taking a read of the newest records for a long poll (VERSION).
+func TestSlowReadOfEmptyTopicDoesNotDateVersionLate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := slowNewest{newRegistry()}
+		clock := clockSince(time.Now(), 0)
+		m := startFollower(registry, mirror.Settings{Clock: clock}, registry)
+		defer m.Close()
+		time.Sleep(100 * time.Millisecond)
+		declared := clock()
+		put(t, registry.memoryRegistry, fuchsiarouter.TopicOperator, "m", "2")
+		time.Sleep(2 * time.Second)
+		g.Expect(m.View().DeclaredVersions["m"].Version).To(gomega.Equal(2))
+		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically("<=", declared))
+	})
+}
--- a/mirror/freeze_test.go
+++ b/mirror/freeze_test.go
@@ -45,6 +45,7 @@
 					mirror.Settings{Clock: func() time.Duration { return time.Since(began) }}, zap.NewNop(), func(*catalog.View) {})
 				defer m.Close()
 				time.Sleep(2*time.Second + 10*time.Millisecond)
+				frozen := time.Since(began)
 				thawsAt := time.Now().Add(freeze)
 				registry.thawsAt.Store(&thawsAt)
 				time.Sleep(declaredAfter)
@@ -53,6 +54,7 @@
 				time.Sleep(freeze)
 				g.Expect(m.View().DeclaredVersions["m"].Version).To(gomega.Equal(2))
 				g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically("<=", declared))
+				g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically(">=", frozen-operatorWait))
 			})
 		})
 	}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -37,7 +37,8 @@
 }
 
 // operatorWait is how long a mirror with default settings lets a read of the operator's topic
-// wait, and so how far it may date a record before its write.
+// wait. It may date a record by so much before the write, and, after a freeze or failed reads,
+// before their start.
 const operatorWait = 400 * time.Millisecond
 
 var errDown = errors.New("down")
@@ -319,6 +320,7 @@
 		time.Sleep(time.Second)
 		g.Expect(m.View().DeclaredVersions["m"].Version).To(gomega.Equal(2))
 		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically("<=", written))
+		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically(">=", written-operatorWait))
 		put(t, registry, fuchsiarouter.TopicOperator, "m", "3")
 		written = time.Since(began)
 		time.Sleep(2 * time.Second)
