roster, schedule, loader: number the states of engines

What happens: a report or digest that is delayed, or that an entry reads only when its freeze ends, replaces the newer state that the loader has announced since. The relays pass it on as news, and the schedulers of all entries follow it for up to 1.5 s (loaderStateTTL). Requests then avoid engines that hold the required version, or go to engines that reject them.

Cause: a state counted as current as of its reception, since states had no order.

The loader numbers the states that it announces, by its clock and at least one above the last number, so the order holds across its restarts. States of a loader that was restarted after its clock was set back are ignored until the clock has caught up; a difference of a minute or more says nothing. Rosters and schedulers ignore a state that is no newer than the one they know. The number is sent beside the states, in fields that daemons of earlier releases ignore; states without a number are applied as before.

TestDelayedReportKeepsNewerEngineState failed always and leaves KNOWN-RED.txt; its states now have numbers. TestDelayedEngineStateIsIgnored failed without the check in the scheduler.

--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,6 @@
 	@echo "passed over, see KNOWN-RED.txt: schedule TestManyEntriesServeReturningCallers"
 	@echo "passed over, see KNOWN-RED.txt: standin/platformtest TestPieceTurnsCorruptWhileEngineIsStopped"
 	@echo "passed over, see KNOWN-RED.txt: standin/soak TestSoakLoadersConverge"
-	@echo "passed over, see KNOWN-RED.txt: roster TestDelayedReportKeepsNewerEngineState"
 	RAPID_SEED=1 go test -count=1 -timeout 5m ./... ./standin/...
 
 # soak runs the property tests with random seeds and many more cases. Add a regression test
--- a/ingress/status.go
+++ b/ingress/status.go
@@ -286,7 +286,7 @@
 	for _, engine := range engines {
 		i.scheduler.SetEngineState(now, schedule.EngineState{
 			Address: engine.Address, Versions: engine.Versions, LoadingWeights: engine.Loading,
-			TimeToLoad: time.Duration(engine.LoadsInMilliseconds) * time.Millisecond,
+			TimeToLoad: time.Duration(engine.LoadsInMilliseconds) * time.Millisecond, Number: engine.Number,
 		})
 	}
 }
--- a/loader/announce.go
+++ b/loader/announce.go
@@ -68,7 +68,8 @@
 // it.
 func (l *Loader) announce() {
 	l.mu.Lock()
-	message := roster.Message{Engine: &roster.EngineStatus{Address: l.settings.EngineAddress, Versions: map[string]int{}}}
+	l.stateNumber = l.stateNumber.Next(time.Now())
+	message := roster.Message{Engine: &roster.EngineStatus{Address: l.settings.EngineAddress, Versions: map[string]int{}, Number: l.stateNumber}}
 	for model, state := range l.engineStates {
 		if state.version > 0 {
 			message.Engine.Versions[model] = state.version
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -109,8 +109,10 @@
 	// entryFailed is set when a read through an entry has failed since.
 	entriesReadAt time.Time
 	entryFailed   bool
-	// announced is the index in entries of the next one to announce a state to.
-	announced int
+	// announced is the index in entries of the next one to announce a state to, stateNumber the
+	// number of the last announced state.
+	announced   int
+	stateNumber fuchsiarouter.StateNumber
 	// caches holds the pieces of the latest versions by cacheKey.
 	caches map[string]*pieceCache
 	// engineStates is the last reported state of the engine by model. changedAt is when
--- a/roster/digest.go
+++ b/roster/digest.go
@@ -378,17 +378,25 @@
 	r.recordEngine(now, status, fromLoader)
 }
 
-// recordEngine records the state of a model engine. A state that is the same as the last
-// one is passed on again only after engineRenewal.
+// recordEngine records the state of a model engine, unless it is superseded by a known one. A
+// state that is the same as the last one is passed on again only after engineRenewal.
 func (r *Roster) recordEngine(now time.Time, status EngineStatus, from origin) {
 	news := &engineNews{status: status, origin: from, changedAt: now}
 	if status.LoadsInMilliseconds > 0 {
 		news.loadsAt = now.Add(time.Duration(status.LoadsInMilliseconds) * time.Millisecond)
 	}
-	known := r.engines[status.Address]
-	if known != nil && known.isSame(news) && now.Sub(known.changedAt) < engineRenewal {
-		known.origin = min(known.origin, from)
-		return
+	if known := r.engines[status.Address]; known != nil {
+		switch {
+		case status.Number != 0 && status.Number == known.status.Number:
+			known.origin = min(known.origin, from)
+			return
+		case status.Number.IsSupersededBy(known.status.Number):
+			return
+		case known.isSame(news) && now.Sub(known.changedAt) < engineRenewal:
+			known.origin = min(known.origin, from)
+			known.status.Number = status.Number
+			return
+		}
 	}
 	r.engines[status.Address] = news
 	for address, news := range r.engines {
--- a/roster/message.go
+++ b/roster/message.go
@@ -21,6 +21,8 @@
 	// LeavingEngine is an engine that has told the loader on its VM that it takes no further
 	// requests. The loader doesn't know its ID.
 	LeavingEngine *availability.Server `cbor:"4,keyasint,omitempty"`
+	// EngineNumber is the number of Engine. Encode sets it.
+	EngineNumber fuchsiarouter.StateNumber `cbor:"5,keyasint,omitempty"`
 }
 
 // Report is the state that an entry sends to the relays of its availability zone.
@@ -51,6 +53,8 @@
 	Parts *fuchsiarouter.PartReport `cbor:"10,keyasint,omitempty"`
 	// Leaving lists the backend servers that have said that they leave.
 	Leaving []availability.Server `cbor:"11,keyasint,omitempty"`
+	// EngineNumbers holds the numbers of Engines, in the same order. Encode sets it.
+	EngineNumbers []fuchsiarouter.StateNumber `cbor:"12,keyasint,omitempty"`
 }
 
 // Digest is what a relay tells the entries of its zone, or the relays of other zones.
@@ -87,6 +91,8 @@
 	// Parts and Leaving are as in a Report, from all entries.
 	Parts   *fuchsiarouter.PartReport `cbor:"15,keyasint,omitempty"`
 	Leaving []availability.Server     `cbor:"16,keyasint,omitempty"`
+	// EngineNumbers is as in a Report.
+	EngineNumbers []fuchsiarouter.StateNumber `cbor:"17,keyasint,omitempty"`
 }
 
 // ZoneEntries is the set of the live entries of an availability zone.
@@ -117,17 +123,53 @@
 	// LoadsInMilliseconds is the expected time until the engine starts to load weights, 0
 	// when no load is planned.
 	LoadsInMilliseconds int64
+	// Number is sent in a field of the message, since daemons of earlier releases reject arrays
+	// with more elements. It is 0 if the loader or a relay is such a daemon.
+	Number fuchsiarouter.StateNumber `cbor:"-"`
 }
 
 // Encode returns the binary form of the message.
 func (m *Message) Encode() ([]byte, error) {
-	encoded, err := cbor.Marshal(m)
+	message := *m
+	if m.Report != nil {
+		report := *m.Report
+		report.EngineNumbers = numbersOf(report.Engines)
+		message.Report = &report
+	}
+	if m.Digest != nil {
+		digest := *m.Digest
+		digest.EngineNumbers = numbersOf(digest.Engines)
+		message.Digest = &digest
+	}
+	if m.Engine != nil {
+		message.EngineNumber = m.Engine.Number
+	}
+	encoded, err := cbor.Marshal(&message)
 	if err != nil {
 		return nil, errors.Wrap(err, "roster: encode message")
 	}
 	return encoded, nil
 }
 
+// numbersOf returns the numbers of engine states.
+func numbersOf(engines []EngineStatus) []fuchsiarouter.StateNumber {
+	var numbers []fuchsiarouter.StateNumber
+	for _, status := range engines {
+		numbers = append(numbers, status.Number)
+	}
+	return numbers
+}
+
+// setNumbers sets the numbers of engine states, unless the sender does not number them.
+func setNumbers(engines []EngineStatus, numbers []fuchsiarouter.StateNumber) {
+	if len(numbers) != len(engines) {
+		return
+	}
+	for i := range engines {
+		engines[i].Number = numbers[i]
+	}
+}
+
 // maxMessageElements bounds the elements of an array or a map in a received message.
 const maxMessageElements = 4096
 
@@ -147,6 +189,15 @@
 	if err := decoder.Unmarshal(encoded, &message); err != nil {
 		return nil, errors.Wrap(err, "roster: decode message")
 	}
+	if message.Report != nil {
+		setNumbers(message.Report.Engines, message.Report.EngineNumbers)
+	}
+	if message.Digest != nil {
+		setNumbers(message.Digest.Engines, message.Digest.EngineNumbers)
+	}
+	if message.Engine != nil {
+		message.Engine.Number = message.EngineNumber
+	}
 	set := 0
 	if message.Report != nil && message.Report.Entry.PeerAddress != "" {
 		set++
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -43,6 +43,7 @@
 	"sort"
 	"time"
 
+	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 )
@@ -244,15 +245,19 @@
 	// is planned.
 	LoadingWeights bool
 	TimeToLoad     time.Duration
+	// Number orders the states of an engine. It is 0 if they are not numbered.
+	Number fuchsiarouter.StateNumber
 }
 
-// SetEngineState applies the state of an engine that its loader reported. For
+// SetEngineState applies the state of an engine that its loader reported, unless a newer one is
+// known. For
 // loaderStateTTL, this state takes precedence over the engine's registration, which is
 // updated within that time as well. Queued requests are assigned to the engine as far as
 // it has capacity.
 func (s *Scheduler) SetEngineState(now time.Time, engine EngineState) {
 	for _, server := range s.servers {
-		if server.Address == engine.Address {
+		if server.Address == engine.Address && !engine.Number.IsSupersededBy(server.loaderStateNumber) {
+			server.loaderStateNumber = engine.Number
 			server.loaderVersions, server.loadingWeights, server.loaderStateUntil = engine.Versions, engine.LoadingWeights, now.Add(loaderStateTTL)
 			server.nextLoadAt = time.Time{}
 			if engine.TimeToLoad > 0 {
--- a/schedule/schedule_test.go
+++ b/schedule/schedule_test.go
@@ -179,6 +179,17 @@
 	g.Expect(s.Submit(start, newRequest(1, start)).Server).To(gomega.Equal("a"))
 }
 
+// TestDelayedEngineStateIsIgnored guards against a delayed state that replaces a newer one of the engine.
+func TestDelayedEngineStateIsIgnored(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z", keyOf)
+	s.SetServers(start, modelServers("z"))
+	s.RequireVersion("m", 2)
+	s.SetEngineState(start, schedule.EngineState{Address: "a", Versions: map[string]int{"m": 2}, Number: 2})
+	s.SetEngineState(start, schedule.EngineState{Address: "a", Versions: map[string]int{"m": 1}, Number: 1})
+	g.Expect(s.Submit(start, newRequest(1, start)).Server).To(gomega.Equal("a"))
+}
+
 // TestLongRequestsAvoidPendingLoad guards against sending a long request to an engine
 // that is about to load weights: the engine waits for the response before it loads, and
 // takes no new requests for seconds meanwhile.
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 )
@@ -41,6 +42,8 @@
 	loadingWeights   bool
 	nextLoadAt       time.Time
 	loaderStateUntil time.Time
+	// loaderStateNumber is the number of that state, 0 if it has none.
+	loaderStateNumber fuchsiarouter.StateNumber
 }
 
 // isEligible reports whether the server may run the request, regardless of its load: it
--- a/staged.go
+++ b/staged.go
@@ -1,6 +1,10 @@
 package fuchsiarouter
 
-import "github.com/go-faster/errors"
+import (
+	"time"
+
+	"github.com/go-faster/errors"
+)
 
 // ErrUnanswered reports that a staged engine gave no answer to a call that was sent. The engine may
 // have carried out the call, or may still carry it out.
@@ -95,3 +99,20 @@
 	// the manifest.
 	Piece(address, model string, version, piece int) ([]byte, error)
 }
+
+// StateNumber orders the states that a loader announces of its engine. It is the Unix time in ms,
+// or the number after the last one if the clock was set back. A state without a number has 0.
+type StateNumber int64
+
+// maxNumberLag bounds the difference of two numbers from which their order is concluded. After
+// the clock was set back and the loader was restarted, numbers are lower than before.
+const maxNumberLag = StateNumber(time.Minute / time.Millisecond)
+
+// Next returns the number of a state that is announced after the one with this number.
+func (n StateNumber) Next(now time.Time) StateNumber { return max(n+1, StateNumber(now.UnixMilli())) }
+
+// IsSupersededBy reports whether the state with this number is no newer than the other state of the
+// same engine.
+func (n StateNumber) IsSupersededBy(other StateNumber) bool {
+	return n != 0 && n <= other && other-n < maxNumberLag
+}
