mirror: keep the deadline of a version that was overtaken unread

What callers saw: requests began on weight version 4 up to 0.17 s and more later than 8 s after version 5 was acknowledged (VERSION), at an entry that stood still while versions 5 and 6 were declared.

Cause: another daemon's copy has only the newest record of a key. An entry that was frozen, cut off or slow, and then reads through it, receives version 6 alone. It gave version 6 its right date and knew of no earlier deadline, so it sent requests to engines with version 4 until that of version 6. In the log the entry has no line about version 5.

A version below the newest one that the copy did not have may have been declared at any time since the topic was last known to be unchanged. The mirror now reports it with that time before the newest one, so both deadlines hold. A read of the registry returns all records and needs none of this.

TestOvertakenVersionKeepsDeadline failed before: version 5 was not known at all.

--- a/mirror/freeze_test.go
+++ b/mirror/freeze_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -87,3 +88,57 @@
 		g.Expect(ages["config"]).To(gomega.BeNumerically("<", 2*time.Second))
 	})
 }
+
+// slowRelay is frozenReader for reads through another daemon.
+type slowRelay struct {
+	mirrorSource
+	thawsAt atomic.Pointer[time.Time]
+}
+
+func (s *slowRelay) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	batch, err := s.mirrorSource.Read(topic, from, wait)
+	if thawsAt := s.thawsAt.Load(); thawsAt != nil {
+		time.Sleep(time.Until(*thawsAt))
+	}
+	return batch, err
+}
+
+// TestOvertakenVersionKeepsDeadline guards against requests on an older version than one that was overtaken unread (VERSION).
+func TestOvertakenVersionKeepsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "4")
+		reader := startMirror(registry)
+		defer reader.Close()
+		relay := &slowRelay{mirrorSource: mirrorSource{reader}}
+		began := time.Now()
+		declaredAt := map[int]time.Duration{}
+		var mu sync.Mutex
+		m := mirror.New(registry, func() []fuchsiarouter.TopicReader { return []fuchsiarouter.TopicReader{relay} },
+			mirror.Settings{RelayWait: 250 * time.Millisecond, Clock: func() time.Duration { return time.Since(began) }}, zap.NewNop(),
+			func(view *catalog.View) {
+				mu.Lock()
+				defer mu.Unlock()
+				if target, known := view.DeclaredVersions["m"]; known {
+					declaredAt[target.Version] = target.DeclaredAt
+				}
+			})
+		defer m.Close()
+		time.Sleep(2 * time.Second)
+		thawsAt := time.Now().Add(3 * time.Second)
+		relay.thawsAt.Store(&thawsAt)
+		time.Sleep(500 * time.Millisecond)
+		declared := time.Since(began)
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "5")
+		time.Sleep(2 * time.Second)
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "6")
+		time.Sleep(2 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		g.Expect(declaredAt).To(gomega.HaveKey(6))
+		g.Expect(declaredAt[6]).To(gomega.BeNumerically(">", declared))
+		g.Expect(declaredAt).To(gomega.HaveKeyWithValue(5, gomega.BeNumerically("<=", declared)))
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -381,10 +381,17 @@
 			if change.Configuration != nil {
 				view = view.WithConfiguration(change.Configuration)
 			}
-			if change.Model != "" {
-				view = view.WithDeclaredVersion(change.Model, catalog.DeclaredVersion{Version: change.Version, DeclaredAt: read.recordWrittenAt(record)})
+			if change.Model == "" {
+				return view
 			}
-			return view
+			declaredAt := read.recordWrittenAt(record)
+			if skipped := change.Version - 1; skipped > view.DeclaredVersions[change.Model].Version && declaredAt > read.unchangedUntil {
+				// Another daemon's copy lacks the versions that this one has replaced. Their
+				// deadline is earlier.
+				view = view.WithDeclaredVersion(change.Model, catalog.DeclaredVersion{Version: skipped, DeclaredAt: read.unchangedUntil})
+				m.onChange(view)
+			}
+			return view.WithDeclaredVersion(change.Model, catalog.DeclaredVersion{Version: change.Version, DeclaredAt: declaredAt})
 		})
 		if change.Configuration != nil {
 			m.log.Info("configuration read", zap.Int64("version", change.Configuration.Version),
