mirror: report the declared versions of a record one after the other

The view of a version that was overtaken unread was passed on from inside the change of the view, before it was stored. Each version now is a change of its own.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -382,22 +382,14 @@
 				zap.Int64("offset", record.Offset), telemetry.Cause(err))
 			continue
 		}
-		m.updateView(func(view *catalog.View) *catalog.View {
-			if change.Configuration != nil {
-				view = view.WithConfiguration(change.Configuration)
-			}
-			if change.Model == "" {
-				return view
-			}
-			declaredAt := read.recordWrittenAt(record)
-			if skipped := change.Version - 1; skipped > view.DeclaredVersions[change.Model].Version && declaredAt > read.unchangedUntil {
-				// Another daemon's copy lacks the versions that this one has replaced. Their
-				// deadline is earlier.
-				view = view.WithDeclaredVersion(change.Model, catalog.DeclaredVersion{Version: skipped, DeclaredAt: read.unchangedUntil})
-				m.onChange(view)
+		if change.Configuration != nil {
+			m.updateView(func(view *catalog.View) *catalog.View { return view.WithConfiguration(change.Configuration) })
+		}
+		if change.Model != "" {
+			for _, declared := range m.declarations(read, record, change) {
+				m.updateView(func(view *catalog.View) *catalog.View { return view.WithDeclaredVersion(change.Model, declared) })
 			}
-			return view.WithDeclaredVersion(change.Model, catalog.DeclaredVersion{Version: change.Version, DeclaredAt: declaredAt})
-		})
+		}
 		if change.Configuration != nil {
 			m.log.Info("configuration read", zap.Int64("version", change.Configuration.Version),
 				zap.Int64("offset", record.Offset), zap.Int64("in-force", m.View().Configuration.Version))
@@ -411,6 +403,18 @@
 	}
 }
 
+// declarations returns the versions that a record shows to be declared, oldest first. The copy of
+// another daemon lacks the versions that the newest one has replaced, which have an earlier
+// deadline.
+func (m *Mirror) declarations(read topicBatch, record fuchsiarouter.KeyedRecord, change fuchsiarouter.OperatorChange) []catalog.DeclaredVersion {
+	newest := catalog.DeclaredVersion{Version: change.Version, DeclaredAt: read.recordWrittenAt(record)}
+	replaced := catalog.DeclaredVersion{Version: change.Version - 1, DeclaredAt: read.unchangedUntil}
+	if replaced.Version > m.View().DeclaredVersions[change.Model].Version && newest.DeclaredAt > replaced.DeclaredAt {
+		return []catalog.DeclaredVersion{replaced, newest}
+	}
+	return []catalog.DeclaredVersion{newest}
+}
+
 // logDeclaration logs a declared version with the age that this daemon gives to it and the
 // times of the read that returned it, so that a wrong age can be traced to its source.
 func (m *Mirror) logDeclaration(change fuchsiarouter.OperatorChange, read topicBatch) {
