--- a/mirror/date_test.go
+++ b/mirror/date_test.go
@@ -143,10 +143,12 @@
 		registry := newRegistry()
 		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
 		clock := clockSince(time.Now(), 0)
-		m := startFollower(registry, mirror.Settings{Clock: clock}, &changedReader{TopicReader: registry,
+		m := startFollower(registry, mirror.Settings{Clock: clock}, &changedReader{
+			TopicReader: registry,
 			read: func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 				return next.Read(topic, from, min(wait, 20*time.Millisecond))
-			}})
+			},
+		})
 		defer m.Close()
 		time.Sleep(2*time.Second + 5*time.Millisecond)
 		declared := clock()
