mirror: don't take failed reads through other entries for an outage

What callers saw: requests reached backend servers 2.0 to 3.5 s after the servers had left (DRAIN), at an entry that was in touch all the time, while the two readers of its zone stood still.

Cause: the age of the own copy stood for an outage of the registry. Reads through two frozen readers fail one after the other, which takes 1.7 s and more. The copy is then older than outageThreshold, although the registry answers the next read at once, and the entry keeps removed servers for reregisterGrace as if their registrations had expired in an outage.

The time of failed reads through other daemons no longer counts for the outage, unless a read of the registry has failed as well or another daemon's copy was stale, which shows that the registry does not answer.

TestFrozenRelaysAreNoOutage failed before: the server was still there 2 s after its removal. TestOutageBesideFrozenRelays passed before, and fails if failed reads of the registry are not taken into account.

--- a/mirror/freeze_test.go
+++ b/mirror/freeze_test.go
@@ -142,3 +142,69 @@
 		g.Expect(declaredAt).To(gomega.HaveKeyWithValue(5, gomega.BeNumerically("<=", declared)))
 	})
 }
+
+// frozenRelay relays the copy of a mirror until it freezes. Reads then time out.
+type frozenRelay struct {
+	mirrorSource
+	frozen *atomic.Bool
+}
+
+func (f frozenRelay) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	if f.frozen.Load() {
+		time.Sleep(time.Second)
+		return fuchsiarouter.KeyedBatch{}, errDown
+	}
+	return f.mirrorSource.Read(topic, from, wait)
+}
+
+// TestFrozenRelaysAreNoOutage guards against requests to removed servers (DRAIN) while the registry answers but the relays don't.
+func TestFrozenRelaysAreNoOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicServers, "a", `{"Service":"s"}`)
+		relay := startMirror(registry)
+		defer relay.Close()
+		time.Sleep(time.Second)
+		frozen := frozenRelay{mirrorSource{relay}, &atomic.Bool{}}
+		m := startReader(registry, frozen, frozen, registry)
+		defer m.Close()
+		time.Sleep(2 * time.Second)
+		g.Expect(m.View().Servers).To(gomega.HaveLen(1))
+		frozen.frozen.Store(true)
+		time.Sleep(500 * time.Millisecond)
+		put(t, registry, fuchsiarouter.TopicServers, "a", "")
+		time.Sleep(2 * time.Second)
+		g.Expect(m.View().Servers).To(gomega.BeEmpty())
+	})
+}
+
+// TestOutageBesideFrozenRelays guards against live servers that are removed since an outage is taken for one of the relays.
+func TestOutageBesideFrozenRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicServers, "a", `{"Service":"s"}`)
+		relay := startMirror(registry)
+		defer relay.Close()
+		time.Sleep(time.Second)
+		frozen := frozenRelay{mirrorSource{relay}, &atomic.Bool{}}
+		m := startReader(registry, frozen, frozen, registry)
+		defer m.Close()
+		time.Sleep(2 * time.Second)
+		frozen.frozen.Store(true)
+		registry.change(func() { registry.down = true })
+		time.Sleep(4 * time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "a", "")
+		registry.change(func() { registry.down = false })
+		time.Sleep(3 * time.Second)
+		g.Expect(m.View().Servers).To(gomega.HaveLen(1))
+	})
+}
+
+// startReader starts a mirror that reads from the sources.
+func startReader(registry *memoryRegistry, sources ...fuchsiarouter.TopicReader) *mirror.Mirror {
+	began := time.Now()
+	settings := mirror.Settings{RelayWait: 250 * time.Millisecond, Clock: func() time.Duration { return time.Since(began) }}
+	return mirror.New(registry, func() []fuchsiarouter.TopicReader { return sources }, settings, zap.NewNop(), func(*catalog.View) {})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -56,8 +56,9 @@
 	// registry within which a live server whose registration expired must register again.
 	reregisterGrace = 2500 * time.Millisecond
 	// outageThreshold is the age of the copy of the servers' topic that counts as an
-	// outage. A registration that is removed during an outage, or until reregisterGrace
-	// after it, may have expired only because the server could not renew it.
+	// outage, unless failed reads through other daemons explain it. A registration that is
+	// removed during an outage, or until reregisterGrace after it, may have expired only
+	// because the server could not renew it.
 	outageThreshold = 2 * time.Second
 )
 
@@ -186,6 +187,9 @@
 	// unchangedUntil is the latest boot time at which the topic is known to have had no record
 	// that the copy lacked before the read, 0 when nothing is known.
 	unchangedUntil time.Duration
+	// relayDelay is how long failed reads through other daemons have taken since the copy was
+	// confirmed, 0 if a source has shown since that the registry does not answer.
+	relayDelay time.Duration
 }
 
 // recordWrittenAt returns the earliest boot time at which a record of the batch may have
@@ -216,7 +220,7 @@
 func (m *Mirror) followTopic(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(topicBatch)) {
 	next, complete, failing := int64(0), true, false
 	selector := sourceSelector{}
-	unchangedUntil := time.Duration(0)
+	unchangedUntil, relayDelay, registryFailed := time.Duration(0), time.Duration(0), false
 	startedAt := m.settings.Clock()
 	for {
 		sources := m.sources()
@@ -266,6 +270,11 @@
 				pause = rereadPause
 			}
 			failing = true
+			if relayed && !errors.Is(err, errStale) {
+				relayDelay += read.receivedAt - read.sentAt
+			} else {
+				registryFailed = true
+			}
 			selector.markFailed(time.Now(), index)
 			if !m.sleep(pause) {
 				return
@@ -278,6 +287,9 @@
 			failing = false
 		}
 		selector.markWorking(index)
+		if !registryFailed {
+			read.relayDelay = relayDelay
+		}
 		apply(read)
 		next = read.End
 		// The records are stored before the confirmation: readers take the age of the copy
@@ -288,6 +300,7 @@
 		}
 		if !read.partial {
 			unchangedUntil = max(unchangedUntil, read.endsBefore(readWait))
+			relayDelay, registryFailed = 0, false
 		}
 		pause := interval
 		if relayed && m.settings.RelayWait > 0 {
@@ -437,7 +450,7 @@
 // new record cannot be decoded is removed.
 func (r *serverRegistrations) applyRecords(read topicBatch) {
 	now := r.mirror.settings.Clock()
-	if r.mirror.ServersAge() > outageThreshold && len(r.servers) > 0 {
+	if r.mirror.ServersAge()-read.relayDelay > outageThreshold && len(r.servers) > 0 {
 		r.outageUntil = now + reregisterGrace
 	}
 	next := make(map[string]*catalog.Server, len(r.servers))
