mirror, ingress: take the age of the copy before the view

An entry takes the view first and the age of its copy after it. If the process stands still between the two, the next read confirms a newer copy, and the old view is judged by the age of that one: a key that was removed may be accepted, or a route that was added may be answered with 404, as if the copy were recent (CONFIG).

ViewWithAge takes the age first, so the view is never older than the age says.

TestFrozenReaderDoesNotTakeOldViewForNew fails with the former order: it gets configuration 1 with an age below a second after configuration 2 was read.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -176,8 +176,8 @@
 	if i.rejecting.Load() {
 		return leavingError()
 	}
-	view := i.mirror.View()
-	r.configurationAge = i.mirror.OperatorAge()
+	view, age := i.mirror.ViewWithAge()
+	r.configurationAge = age
 	if view.Configuration == nil {
 		return i.notReady("no configuration is known yet")
 	}
--- a/mirror/freeze_test.go
+++ b/mirror/freeze_test.go
@@ -208,3 +208,32 @@
 	settings := mirror.Settings{RelayWait: 250 * time.Millisecond, Clock: func() time.Duration { return time.Since(began) }}
 	return mirror.New(registry, func() []fuchsiarouter.TopicReader { return sources }, settings, zap.NewNop(), func(*catalog.View) {})
 }
+
+// TestFrozenReaderDoesNotTakeOldViewForNew guards against an old configuration that is judged by the age of a newer one (CONFIG).
+func TestFrozenReaderDoesNotTakeOldViewForNew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
+		began := time.Now()
+		var freeze atomic.Bool
+		clock := func() time.Duration {
+			if freeze.Swap(false) {
+				time.Sleep(time.Second)
+			}
+			return time.Since(began)
+		}
+		m := mirror.New(registry, func() []fuchsiarouter.TopicReader { return []fuchsiarouter.TopicReader{registry} },
+			mirror.Settings{Clock: clock}, zap.NewNop(), func(*catalog.View) {})
+		defer m.Close()
+		time.Sleep(10 * time.Second)
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			put(t, registry, fuchsiarouter.TopicOperator, "config", "2")
+		}()
+		freeze.Store(true)
+		view, age := m.ViewWithAge()
+		g.Expect(view.Configuration.Version).To(gomega.Equal(int64(2)))
+		g.Expect(age).To(gomega.BeNumerically("<", time.Second))
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -151,6 +151,12 @@
 // View returns the newest view.
 func (m *Mirror) View() *catalog.View { return m.view.Load() }
 
+// ViewWithAge returns the newest view and the maximum age of its copy of the operator's topic.
+func (m *Mirror) ViewWithAge() (*catalog.View, time.Duration) {
+	age := m.OperatorAge()
+	return m.View(), age
+}
+
 // OperatorAge returns the maximum age of the copy of the operator's topic. It is at least
 // an hour before the first read.
 func (m *Mirror) OperatorAge() time.Duration {
