quarantine: date a crash by the earliest report of it

What happens: crashes of one incident, such as a loss of power, are reported as ages, which a receiver counts from the reception. An entry that stood still reads old and new reports at once and dates the crashes apart by the time between these reports. It then sees several incidents in one, and may refuse a sound part of prompts that was in progress at all of them, with all requests that have it.

Every delay makes a crash look later than it was, never earlier, and the first report that arrived decided.

The earliest of the times that the reports give is now used. A change beyond the window of an incident decides anew what is refused.

TestDelayedReportsOfOneIncident failed before: the part was refused after one incident of three crashes.

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -175,13 +175,18 @@
 		return false
 	}
 	crash := p.crashes[id]
+	decisive := false
 	if crash != nil {
+		// A report that was delayed dates the crash too late, so the earliest time is the best.
+		decisive = crash.at.Sub(at) > incidentWindow
+		if at.Before(crash.at) {
+			crash.at = at
+		}
 		at = crash.at
 	}
-	decisive := false
 	if sound := p.soundRequests - soundSince; crash != nil && sound < crash.soundRequests {
 		crash.soundRequests = sound
-		decisive = p.pending
+		decisive = decisive || p.pending
 	}
 	for part, position := range positions {
 		if p.isCleared(part, at) {
--- a/quarantine/parts_test.go
+++ b/quarantine/parts_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/quarantine"
 )
 
@@ -250,3 +251,26 @@
 		f.entries[0], f.entries[1] = f.entries[1], f.entries[0]
 	}
 }
+
+// TestDelayedReportsOfOneIncident guards against crashes of one incident that a frozen entry dates apart and takes for several.
+func TestDelayedReportsOfOneIncident(t *testing.T) {
+	const interval = 200 * time.Millisecond
+	f := newPartsFleet(2)
+	var delayed []fuchsiarouter.PartReport
+	for i := range 3 {
+		f.entries[0].Merge(f.now, fuchsiarouter.PartReport{Crashes: []fuchsiarouter.PartCrash{{
+			CrashID: fmt.Sprint("server/", i), AgeMilliseconds: (time.Duration(i) * interval).Milliseconds(), Positions: map[string]int{"shared": 0},
+		}}})
+		delayed = append(delayed, f.entries[0].Report(f.now))
+		f.now = f.now.Add(interval)
+	}
+	for _, report := range delayed {
+		f.entries[1].Merge(f.now, report)
+	}
+	for range 5 {
+		f.entries[1].RecordSound(f.now, f.prompt("other"))
+	}
+	if refused := f.entries[1].Refused(f.now, f.prompt("shared")); refused != "" {
+		t.Fatalf("part %q is refused after one incident", refused)
+	}
+}
