--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -56,8 +56,9 @@
 	// registry within which a live server whose registration expired must register again.
 	reregisterGrace = 2500 * time.Millisecond
 	// outageThreshold is the age of the copy of the servers' topic that counts as an
-	// outage. A registration that is removed during an outage, or until reregisterGrace
-	// after it, may have expired only because the server could not renew it.
+	// outage, unless failed reads through other daemons explain it. A registration that is
+	// removed during an outage, or until reregisterGrace after it, may have expired only
+	// because the server could not renew it.
 	outageThreshold = 2 * time.Second
 )
 
@@ -150,6 +151,12 @@
 // View returns the newest view.
 func (m *Mirror) View() *catalog.View { return m.view.Load() }
 
+// ViewWithAge returns the newest view and the maximum age of its copy of the operator's topic.
+func (m *Mirror) ViewWithAge() (*catalog.View, time.Duration) {
+	age := m.OperatorAge()
+	return m.View(), age
+}
+
 // OperatorAge returns the maximum age of the copy of the operator's topic. It is at least
 // an hour before the first read.
 func (m *Mirror) OperatorAge() time.Duration {
@@ -191,6 +198,9 @@
 	// A version may have been known before the read, so its date may be earlier than what
 	// recordWrittenAt returns.
 	declaredAt map[string]time.Duration
+	// relayDelay is how long failed reads through other daemons have taken since the copy was
+	// confirmed, 0 if a source has shown since that the registry does not answer.
+	relayDelay time.Duration
 }
 
 // recordWrittenAt returns the earliest boot time at which a record of the batch may have
@@ -221,7 +231,7 @@
 func (m *Mirror) followTopic(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(topicBatch)) {
 	next, complete, failing := int64(0), true, false
 	selector := sourceSelector{}
-	unchangedUntil := catalog.UnknownTime
+	unchangedUntil, relayDelay, registryFailed := catalog.UnknownTime, time.Duration(0), false
 	startedAt := m.settings.Clock()
 	for {
 		sources := m.sources()
@@ -271,6 +281,11 @@
 				pause = rereadPause
 			}
 			failing = true
+			if relayed && !errors.Is(err, errStale) {
+				relayDelay += read.receivedAt - read.sentAt
+			} else {
+				registryFailed = true
+			}
 			selector.markFailed(time.Now(), index)
 			if !m.sleep(pause) {
 				return
@@ -283,6 +298,9 @@
 			failing = false
 		}
 		selector.markWorking(index)
+		if !registryFailed {
+			read.relayDelay = relayDelay
+		}
 		apply(read)
 		next = read.End
 		// The records are stored before the confirmation: readers take the age of the copy
@@ -293,6 +311,7 @@
 		}
 		if !read.partial {
 			unchangedUntil = max(unchangedUntil, read.noLaterRecordAt(readWait))
+			relayDelay, registryFailed = 0, false
 		}
 		pause := interval
 		if relayed && m.settings.RelayWait > 0 {
@@ -448,7 +467,7 @@
 // new record cannot be decoded is removed.
 func (r *serverRegistrations) applyRecords(read topicBatch) {
 	now := r.mirror.settings.Clock()
-	if r.mirror.ServersAge() > outageThreshold && len(r.servers) > 0 {
+	if r.mirror.ServersAge()-read.relayDelay > outageThreshold && len(r.servers) > 0 {
 		r.outageUntil = now + reregisterGrace
 	}
 	next := make(map[string]*catalog.Server, len(r.servers))
