loader: abandon a version that stalls once a newer one is declared

The logs show loaders that ask each other for pieces of version 6 without end ("source has no piece") after the others have fetched version 7.

Cause: a loader decides by the times of declaration whether a newer version supersedes the one that it fetches, since all loaders share these times. They don't: each entry dates a declaration by its own reads, up to the time for which it was cut off, so loaders of two zones decide differently.

A fetch that has received no piece for as long as a newer version may supersede it is now abandoned if a newer one is declared. Loaders that can still get pieces go on as before.

TestVersionThatOriginDroppedIsAbandoned failed before: version 1 after 10 s.

--- a/loader/converge.go
+++ b/loader/converge.go
@@ -284,13 +284,26 @@
 	declared := l.declaredAt[model]
 	declaredAt, known := declared[version]
 	for newer, newerDeclaredAt := range declared {
-		if newer > version && (!known || newerDeclaredAt-declaredAt < time.Duration((1-supersedeFraction)*float64(l.settings.VersionDeadline))) {
+		if newer > version && (!known || newerDeclaredAt-declaredAt < l.supersedeWindow()) {
 			return true
 		}
 	}
 	return false
 }
 
+// isAbandoned reports whether the fetch of a version, which received its last piece at progressAt, is
+// to be abandoned for a newer one. Loaders date the declarations a little differently, so some of
+// them may still wait for pieces of a version that the others have abandoned.
+func (l *Loader) isAbandoned(model string, version int, progressAt time.Time) bool {
+	return time.Since(progressAt) > l.supersedeWindow() && declaredVersion(l.mirror.View(), model) > version
+}
+
+// supersedeWindow is the time from the declaration of a version within which a newer one
+// supersedes it, see supersedeFraction.
+func (l *Loader) supersedeWindow() time.Duration {
+	return time.Duration((1 - supersedeFraction) * float64(l.settings.VersionDeadline))
+}
+
 // waitForLoadTurn waits until this engine may load. The engines of a service load at
 // times that are spread, in the order of loadPosition, over a window before the version
 // deadline. An engine without a version loads immediately. waitForLoadTurn returns true,
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -46,6 +46,8 @@
 	// corruptNext is the number of pieces that the origin still sends corrupted.
 	corruptNext int
 	originDown  bool
+	// firstServed is the oldest version that the origin still has.
+	firstServed int
 	// manifestReads counts the reads of manifests from the origin.
 	manifestReads int
 	// silentUntil is when the engines begin to answer.
@@ -161,6 +163,9 @@
 	if f.originDown {
 		return nil, errors.New("origin down")
 	}
+	if version < f.firstServed {
+		return nil, errors.New("version gone")
+	}
 	f.downloadsByPiece[piece]++
 	if f.corruptNext > 0 {
 		f.corruptNext--
@@ -483,3 +488,23 @@
 	})
 	g.Eventually(versions(added), 2*testTimeout).Should(gomega.Equal([]int{1}))
 }
+
+// TestVersionThatOriginDroppedIsAbandoned guards against a loader that asks the origin forever for a version that is gone.
+func TestVersionThatOriginDroppedIsAbandoned(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := newFakeFleet(t)
+	engine := f.addEngine(t, 2, "a", true)
+	g.Eventually(versions(engine), testTimeout).Should(gomega.Equal([]int{1}))
+	f.mu.Lock()
+	f.originDown = true
+	f.mu.Unlock()
+	for version := 2; version <= 4; version++ {
+		f.update(fuchsiarouter.TopicOperator, func() { f.version = version })
+		// The versions are declared too far apart to supersede each other.
+		time.Sleep(2500 * time.Millisecond)
+	}
+	f.mu.Lock()
+	f.originDown, f.firstServed = false, 3
+	f.mu.Unlock()
+	g.Eventually(versions(engine), testTimeout).Should(gomega.Equal([]int{4}))
+}
--- a/loader/version_fetch.go
+++ b/loader/version_fetch.go
@@ -77,11 +77,16 @@
 	defer f.stop()
 	ticker := time.NewTicker(replanInterval)
 	defer ticker.Stop()
+	missing, progressAt := 0, time.Now()
 	for {
-		if len(cache.missingPieces()) == 0 {
+		previous := missing
+		if missing = len(cache.missingPieces()); missing == 0 {
 			return nil
 		}
-		if l.isSuperseded(model, version) {
+		if missing != previous {
+			progressAt = time.Now()
+		}
+		if l.isSuperseded(model, version) || l.isAbandoned(model, version, progressAt) {
 			return errSuperseded
 		}
 		if f.isManifestSuspect() {
