mirror, platform: log the epoch and position of reads of the registry

The registry reports how often it was restored from a backup, and each time it reuses the offsets that it lost. The logs showed neither that nor the position of a copy, so a copy that was refused as too old, or a read that found nothing, couldn't be told from one of another history.

Batches carry the epoch, also through relays; nothing acts on it yet. Lines about lost and regained topics have the epoch and position of the own copy and those of the response.

--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -22,8 +22,9 @@
 	// writtenAt holds, by key, the earliest boot time at which each record may have been
 	// written.
 	writtenAt map[string]time.Duration
-	// end is the offset after the newest record.
-	end int64
+	// epoch is that of the read that last changed or confirmed the copy, and end the offset
+	// after the newest record.
+	epoch, end int64
 	// changed is closed when a record is added or the copy is replaced. After an added
 	// record, a new channel takes its place for the next change; a copy that replaces this
 	// one has its own.
@@ -61,7 +62,7 @@
 			kept.writtenAt[record.Key] = writtenAt
 		}
 	}
-	kept.end = read.End
+	kept.epoch, kept.end = read.Epoch, read.End
 	if len(read.Records) > 0 && !read.complete {
 		close(kept.changed)
 		kept.changed = make(chan struct{})
@@ -100,7 +101,7 @@
 	if kept == nil {
 		return fuchsiarouter.KeyedBatch{}, nil, false
 	}
-	batch := fuchsiarouter.KeyedBatch{End: kept.end}
+	batch := fuchsiarouter.KeyedBatch{Epoch: kept.epoch, End: kept.end}
 	for _, record := range kept.records {
 		if record.Offset >= from && (removals || len(record.Value) > 0) {
 			record.Age = arrived - kept.writtenAt[record.Key]
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -214,7 +214,7 @@
 // passed to apply, stored in copies and, unless it is partial, updates the boot time
 // confirmed.
 func (m *Mirror) followTopic(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(topicBatch)) {
-	next, complete, failing := int64(0), true, false
+	epoch, next, complete, failing := int64(0), int64(0), true, false
 	selector := sourceSelector{}
 	unchangedUntil := time.Duration(0)
 	startedAt := m.settings.Clock()
@@ -238,7 +238,7 @@
 		switch {
 		case errors.As(err, &expired):
 			m.log.Info("records expired, the topic is read anew", zap.Int("topic", int(topic)),
-				zap.Int64("position", next), zap.Int64("first", expired.OldestOffset))
+				zap.Int64("epoch", epoch), zap.Int64("position", next), zap.Int64("first", expired.OldestOffset))
 			complete = true
 			if !m.sleep(rereadPause) {
 				return
@@ -258,7 +258,8 @@
 		case err != nil:
 			if !failing {
 				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", index),
-					zap.Bool("relayed", relayed), telemetry.Cause(err))
+					zap.Bool("relayed", relayed), zap.Int64("epoch", epoch), zap.Int64("position", next),
+					zap.Int64("read-epoch", read.Epoch), zap.Int64("read-end", read.End), telemetry.Cause(err))
 			}
 			pause := retryInterval
 			if !failing && len(sources) > 1 {
@@ -274,12 +275,13 @@
 		}
 		if failing || selector.isSwitch(index) {
 			m.log.Info("registry regained", zap.Int("topic", int(topic)), zap.Int("way", index), zap.Bool("relayed", relayed),
+				zap.Int64("epoch", epoch), zap.Int64("position", next), zap.Int64("read-epoch", read.Epoch), zap.Int64("read-end", read.End),
 				zap.Duration("age", m.settings.Clock()-time.Duration(confirmed.Load())))
 			failing = false
 		}
 		selector.markWorking(index)
 		apply(read)
-		next = read.End
+		epoch, next = read.Epoch, read.End
 		// The records are stored before the confirmation: readers take the age of the copy
 		// before its records, so the records are never older than that age says.
 		m.copies.store(topic, read)
@@ -388,7 +390,7 @@
 		})
 		if change.Configuration != nil {
 			m.log.Info("configuration read", zap.Int64("version", change.Configuration.Version),
-				zap.Int64("offset", record.Offset), zap.Int64("in-force", m.View().Configuration.Version))
+				zap.Int64("epoch", read.Epoch), zap.Int64("offset", record.Offset), zap.Int64("in-force", m.View().Configuration.Version))
 		}
 		if change.Model != "" {
 			m.logDeclaration(change, read)
--- a/registry.go
+++ b/registry.go
@@ -36,6 +36,11 @@
 
 // KeyedBatch is the result of a read of a topic.
 type KeyedBatch struct {
+	// Epoch is the number of the registry's history from which the records come. It
+	// increases whenever the registry is restored from a backup, which loses the newest
+	// records and reuses their offsets, so only offsets of one epoch can be compared. It is
+	// 0 if the registry does not report it.
+	Epoch int64
 	// End is the offset after the newest record of the topic.
 	End int64
 	// Relayed is set if the batch comes from another daemon, which relays the records that
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -41,7 +41,7 @@
 	if cached != nil && cached.from == from && cached.end == batch.End && cached.records == len(batch.Records) {
 		return cached, nil
 	}
-	wire := batchWire{End: batch.End, Records: make([]recordWire, 0, len(batch.Records))}
+	wire := batchWire{Epoch: batch.Epoch, End: batch.End, Records: make([]recordWire, 0, len(batch.Records))}
 	for _, record := range batch.Records {
 		wire.Records = append(wire.Records, recordWire{
 			Offset: record.Offset, Key: record.Key, Value: record.Value, Written: arrived - record.Age,
