--- a/standin/keyedstore/keyedstore.go
+++ b/standin/keyedstore/keyedstore.go
@@ -8,6 +8,8 @@
 	"encoding/binary"
 	"encoding/json"
 	"net"
+	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -26,6 +28,9 @@
 	TopicEntries = "keyed.status"
 )
 
+// headerEra is the response header that counts the restorations of the store.
+const headerEra = "Store-Era"
+
 // pollInterval is the interval at which a read that waits checks for new records.
 const pollInterval = 5 * time.Millisecond
 
@@ -39,14 +44,19 @@
 	topics map[string][]record
 	// firstOffsets holds the first offset that can be read, by topic; see Compact.
 	firstOffsets map[string]int
+	// era starts at 1 and is increased by Restore.
+	era int
 	// unavailable is set if every request is answered with status 503. requestCount is the
 	// number of HTTP requests so far.
 	unavailable  bool
 	requestCount int
 }
 
-// record is a keyed record. An empty value deletes the key.
-type record struct{ key, value string }
+// record is a keyed record, put at the time written. An empty value deletes the key.
+type record struct {
+	key, value string
+	written    time.Time
+}
 
 // New starts a store that listens on the address. An ingress that runs longer than the store goes
 // on reading from the address, so no other store may use it afterwards.
@@ -55,7 +65,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Store{address: listener.Addr().String(), topics: map[string][]record{}, firstOffsets: map[string]int{}}
+	s := &Store{address: listener.Addr().String(), topics: map[string][]record{}, firstOffsets: map[string]int{}, era: 1}
 	s.server = &fasthttp.Server{Handler: s.serveHTTP}
 	go func() { _ = s.server.Serve(listener) }()
 	return s, nil
@@ -71,7 +81,38 @@
 func (s *Store) Put(topic, key, value string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.topics[topic] = append(s.topics[topic], record{key, value})
+	s.topics[topic] = append(s.topics[topic], record{key, value, time.Now()})
+}
+
+// putInEra is Put for a request that arrived in the era. It reports whether the era is still the
+// same.
+func (s *Store) putInEra(era int, topic, key, value string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.era != era {
+		return false
+	}
+	s.topics[topic] = append(s.topics[topic], record{key, value, time.Now()})
+	return true
+}
+
+// Restore simulates that the store was restored from a backup of the given age: the records
+// that were put since are lost, their offsets are given to the next records, and the era in all
+// responses increases. Reads from an offset after the end of a topic are answered with status
+// 410, and reads that are waiting with status 503.
+func (s *Store) Restore(age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	since := time.Now().Add(-age)
+	for topic, records := range s.topics {
+		kept := 0
+		for kept < len(records) && records[kept].written.Before(since) {
+			kept++
+		}
+		s.topics[topic] = slices.Clone(records[:kept])
+		s.firstOffsets[topic] = min(s.firstOffsets[topic], kept)
+	}
 }
 
 // SetUnavailable determines whether the store responds to every HTTP request with status 503.
@@ -102,8 +143,9 @@
 func (s *Store) serveHTTP(ctx *fasthttp.RequestCtx) {
 	s.mu.Lock()
 	s.requestCount++
-	unavailable := s.unavailable
+	unavailable, era := s.unavailable, s.era
 	s.mu.Unlock()
+	ctx.Response.Header.Set(headerEra, strconv.Itoa(era))
 	if unavailable {
 		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
 		return
@@ -111,14 +153,17 @@
 	topic := string(ctx.QueryArgs().Peek("topic"))
 	switch string(ctx.Path()) {
 	case "/fuchsiarouter/log-read":
-		s.serveRead(ctx, topic)
+		s.serveRead(ctx, topic, era)
 	case "/fuchsiarouter/log-newest":
-		s.serveNewest(ctx, topic)
+		s.serveNewest(ctx, topic, era)
 	case "/fuchsiarouter/log-append":
 		// The body has the format of a record in the response of serveRead.
 		body := ctx.PostBody()
 		keyLength := int(body[4])
-		s.Put(topic, string(body[5:5+keyLength]), string(body[5+keyLength:]))
+		if !s.putInEra(era, topic, string(body[5:5+keyLength]), string(body[5+keyLength:])) {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
 		ctx.SetBodyString("{}")
 	default:
 		ctx.SetStatusCode(fasthttp.StatusNotFound)
@@ -129,15 +174,21 @@
 // until the time that the request allows has passed. The response begins with the offset of the
 // next record and the first offset that can be read, 8 bytes each. Each record follows as the
 // length of its rest in 4 bytes, the length of the key in 1 byte, the key and the value. An
-// offset before the first one that can be read is answered with status 410.
-func (s *Store) serveRead(ctx *fasthttp.RequestCtx, topic string) {
+// offset before the first one that can be read is answered with status 410, and so is one after
+// the end of the topic once the store was restored. A read that arrived in an earlier era is
+// answered with status 503.
+func (s *Store) serveRead(ctx *fasthttp.RequestCtx, topic string, era int) {
 	from := ctx.QueryArgs().GetUintOrZero("from")
 	deadline := time.Now().Add(time.Duration(ctx.QueryArgs().GetUintOrZero("waitMs")) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		records, firstOffset := s.topics[topic], s.firstOffsets[topic]
+		records, firstOffset, current := s.topics[topic], s.firstOffsets[topic], s.era
 		s.mu.Unlock()
-		if from < firstOffset {
+		if current != era {
+			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+			return
+		}
+		if from < firstOffset || era > 1 && from > len(records) {
 			ctx.SetStatusCode(fasthttp.StatusGone)
 			body, _ := json.Marshal(struct {
 				First int `json:"first"`
@@ -161,7 +212,7 @@
 
 // serveNewest responds with the newest record of each key that is not deleted, in a single
 // page, and with the offset of the next record of the topic.
-func (s *Store) serveNewest(ctx *fasthttp.RequestCtx, topic string) {
+func (s *Store) serveNewest(ctx *fasthttp.RequestCtx, topic string, era int) {
 	type item struct {
 		Key    string `json:"key"`
 		Value  string `json:"value"`
@@ -174,6 +225,10 @@
 	}{Items: []item{}}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.era != era {
+		ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
+		return
+	}
 	newest := map[string]item{}
 	for offset, r := range s.topics[topic] {
 		if r.value == "" {
