mirror, platform, relay: positions of a topic belong to an epoch

Cause: a position in a topic was an offset alone, but a restored registry gives offsets out again. A reader asked for the records from its offset on, and when the topic had grown past it again, it never read those between. A reader through a relay compared its offset with the end of the relay's restored copy and refused that copy as too old, until the topic had grown past the offset.

A position is now an epoch and an offset. The epoch comes with each response of the registry and is passed on by relays; a position is asked for with its epoch, and whoever is of another one returns no record, upon which the reader starts anew. A relayed copy of an earlier epoch is a failed source, one of a later epoch is newer whatever the ages are. A registry that reports no epoch has epoch 0 throughout, as before.

--- a/loader/loader.go
+++ b/loader/loader.go
@@ -248,7 +248,7 @@
 }
 
 // Read implements fuchsiarouter.TopicReader.
-func (e entrySource) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (e entrySource) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	batch, err := e.Client.Read(topic, from, wait)
 	e.loader.recordEntryRead(err)
 	return batch, err
--- a/loader/loader_test.go
+++ b/loader/loader_test.go
@@ -71,7 +71,7 @@
 	return fmt.Appendf(nil, "piece %d of version %d", piece, version)
 }
 
-func (f *fakeFleet) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (f *fakeFleet) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	for deadline := time.Now().Add(wait); ; time.Sleep(5 * time.Millisecond) {
 		batch, err := f.ReadNewest(topic)
 		if err != nil {
@@ -81,7 +81,7 @@
 		offset := f.lastOffsets[topic]
 		f.mu.Unlock()
 		batch.End = offset + 1
-		if offset >= from {
+		if offset >= from.Offset {
 			for i := range batch.Records {
 				batch.Records[i].Offset = offset
 			}
--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -22,8 +22,7 @@
 	// writtenAt holds, by key, the earliest boot time at which each record may have been
 	// written.
 	writtenAt map[string]time.Duration
-	// epoch is that of the read that last changed or confirmed the copy, and end the offset
-	// after the newest record.
+	// epoch is the epoch of the records, and end the offset after the newest one.
 	epoch, end int64
 	// changed is closed when a record is added or the copy is replaced. After an added
 	// record, a new channel takes its place for the next change; a copy that replaces this
@@ -90,11 +89,12 @@
 	}
 }
 
-// readFrom returns the newest record of each key, if its offset is at least from, for a
-// read that arrived at the given boot time, and a channel that is closed when the copy
-// changes. Records without a value, which stand for removed keys, are included when
-// removals is set. readFrom returns false when the topic was not read yet.
-func (c *topicCopies) readFrom(topic fuchsiarouter.Topic, from int64, removals bool, arrived time.Duration) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
+// readFrom returns the newest record of each key for a read that arrived at the given boot
+// time, and a channel that is closed when the copy changes. Unless newest is set, these are
+// the records from the position on, including those without a value, which stand for removed
+// keys, and none if the copy is of another epoch than the position. readFrom returns false
+// when the topic was not read yet.
+func (c *topicCopies) readFrom(topic fuchsiarouter.Topic, from fuchsiarouter.Position, newest bool, arrived time.Duration) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.topics[topic]
@@ -102,8 +102,11 @@
 		return fuchsiarouter.KeyedBatch{}, nil, false
 	}
 	batch := fuchsiarouter.KeyedBatch{Epoch: kept.epoch, End: kept.end}
+	if !newest && from.Epoch != kept.epoch {
+		return batch, kept.changed, true
+	}
 	for _, record := range kept.records {
-		if record.Offset >= from && (removals || len(record.Value) > 0) {
+		if newest && len(record.Value) > 0 || !newest && record.Offset >= from.Offset {
 			record.Age = arrived - kept.writtenAt[record.Key]
 			batch.Records = append(batch.Records, record)
 		}
@@ -111,28 +114,28 @@
 	return batch, kept.changed, true
 }
 
-// Read returns the newest record of each key of a topic, if its offset is at least from.
-// When there is none, Read waits up to wait for the first one. The batch and its records
-// have their age at the time of the call, which is negative for what was read while Read
-// waited. Read returns false when the mirror has not read the topic yet.
-func (m *Mirror) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, bool) {
-	return m.readCopy(topic, from, wait, true)
+// Read returns the newest record of each key of a topic, if it is at the position or after
+// it. When there is none, Read waits up to wait for the first one. When the copy is of
+// another epoch than the position, Read returns no record and does not wait. The batch and
+// its records have their age at the time of the call, which is negative for what was read
+// while Read waited. Read returns false when the mirror has not read the topic yet.
+func (m *Mirror) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, bool) {
+	return m.readCopy(topic, from, wait, false)
 }
 
 // ReadNewest returns the newest record of every key of a topic that has a value. It
 // returns false when the mirror has not read the topic yet.
 func (m *Mirror) ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, bool) {
-	return m.readCopy(topic, 0, 0, false)
+	return m.readCopy(topic, fuchsiarouter.Position{}, 0, true)
 }
 
-// readCopy implements Read and ReadNewest. Records without a value, which stand for
-// removed keys, are included when removals is set.
-func (m *Mirror) readCopy(topic fuchsiarouter.Topic, from int64, wait time.Duration, removals bool) (fuchsiarouter.KeyedBatch, bool) {
+// readCopy implements Read, and ReadNewest when newest is set.
+func (m *Mirror) readCopy(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration, newest bool) (fuchsiarouter.KeyedBatch, bool) {
 	// The time of the confirmation is read before the records, so the records may be newer
 	// than the age of the batch says, but never older.
 	arrived, confirmed := m.settings.Clock(), m.confirmedAt(topic)
-	batch, changed, ok := m.copies.readFrom(topic, from, removals, arrived)
-	if ok && len(batch.Records) == 0 && wait > 0 {
+	batch, changed, ok := m.copies.readFrom(topic, from, newest, arrived)
+	if ok && len(batch.Records) == 0 && batch.Epoch == from.Epoch && wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -141,7 +144,7 @@
 		case <-m.closing:
 		}
 		confirmed = m.confirmedAt(topic)
-		batch, _, ok = m.copies.readFrom(topic, from, removals, arrived)
+		batch, _, ok = m.copies.readFrom(topic, from, newest, arrived)
 	}
 	batch.Relayed, batch.Age = true, arrived-confirmed
 	return batch, ok
--- a/mirror/freeze_test.go
+++ b/mirror/freeze_test.go
@@ -20,7 +20,7 @@
 	thawsAt atomic.Pointer[time.Time]
 }
 
-func (f *frozenReader) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (f *frozenReader) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	batch, err := f.memoryRegistry.Read(topic, from, wait)
 	if thawsAt := f.thawsAt.Load(); thawsAt != nil {
 		time.Sleep(time.Until(*thawsAt))
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -4,8 +4,8 @@
 // Two loops read the operator's topic, which holds the configuration and the declared
 // weight versions, and the topic of backend servers. Each loop starts with the newest
 // record of every key and continues with the records after it. When unread records have
-// been removed, the loop starts over, and it never replaces a configuration or a declared
-// version by an older one.
+// been removed, or the registry was restored from a backup, the loop starts over, and it
+// never replaces a configuration or a declared version by an older one.
 //
 // A loop reads from the registry or, through another daemon, from that daemon's copy,
 // which is called a relayed read. A successful read of the registry confirms the copy as
@@ -74,9 +74,12 @@
 }
 
 // errStale is the error of a relayed read whose copy was confirmed no later than the own
-// one, or ends before the offset that was read.
+// one, is of an earlier epoch, or ends before the offset that was read.
 var errStale = errors.New("the copy of the other daemon is no newer than the own one")
 
+// errRestored is the error of a read from a position that is not of the source's epoch.
+var errRestored = errors.New("the registry was restored since the last read")
+
 // Mirror is a daemon's copy of the registry. Its loops run until Close.
 type Mirror struct {
 	registry fuchsiarouter.Registry
@@ -214,7 +217,7 @@
 // passed to apply, stored in copies and, unless it is partial, updates the boot time
 // confirmed.
 func (m *Mirror) followTopic(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(topicBatch)) {
-	epoch, next, complete, failing := int64(0), int64(0), true, false
+	next, complete, failing := fuchsiarouter.Position{}, true, false
 	selector := sourceSelector{}
 	unchangedUntil := time.Duration(0)
 	startedAt := m.settings.Clock()
@@ -230,15 +233,19 @@
 			readWait = m.settings.RelayWait
 		}
 		read, err := m.readTopic(sources[index], topic, next, readWait, complete)
-		if err == nil && read.Relayed && int64(read.sentAt-read.Age) <= confirmed.Load() {
+		if err == nil && read.Relayed && read.Epoch == next.Epoch && int64(read.sentAt-read.Age) <= confirmed.Load() {
 			err = errStale
 		}
 		read.unchangedUntil = unchangedUntil
 		var expired *fuchsiarouter.ExpiredError
 		switch {
-		case errors.As(err, &expired):
-			m.log.Info("records expired, the topic is read anew", zap.Int("topic", int(topic)),
-				zap.Int64("epoch", epoch), zap.Int64("position", next), zap.Int64("first", expired.OldestOffset))
+		case errors.As(err, &expired), errors.Is(err, errRestored):
+			fields := []zap.Field{zap.Int("topic", int(topic)), zap.Int64("epoch", next.Epoch), zap.Int64("position", next.Offset)}
+			if expired != nil {
+				m.log.Info("records expired, the topic is read anew", append(fields, zap.Int64("first", expired.OldestOffset))...)
+			} else {
+				m.log.Info("registry restored, the topic is read anew", append(fields, zap.Int64("read-epoch", read.Epoch), zap.Bool("relayed", relayed))...)
+			}
 			complete = true
 			if !m.sleep(rereadPause) {
 				return
@@ -258,7 +265,7 @@
 		case err != nil:
 			if !failing {
 				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", index),
-					zap.Bool("relayed", relayed), zap.Int64("epoch", epoch), zap.Int64("position", next),
+					zap.Bool("relayed", relayed), zap.Int64("epoch", next.Epoch), zap.Int64("position", next.Offset),
 					zap.Int64("read-epoch", read.Epoch), zap.Int64("read-end", read.End), telemetry.Cause(err))
 			}
 			pause := retryInterval
@@ -275,13 +282,13 @@
 		}
 		if failing || selector.isSwitch(index) {
 			m.log.Info("registry regained", zap.Int("topic", int(topic)), zap.Int("way", index), zap.Bool("relayed", relayed),
-				zap.Int64("epoch", epoch), zap.Int64("position", next), zap.Int64("read-epoch", read.Epoch), zap.Int64("read-end", read.End),
+				zap.Int64("epoch", next.Epoch), zap.Int64("position", next.Offset), zap.Int64("read-epoch", read.Epoch), zap.Int64("read-end", read.End),
 				zap.Duration("age", m.settings.Clock()-time.Duration(confirmed.Load())))
 			failing = false
 		}
 		selector.markWorking(index)
 		apply(read)
-		epoch, next = read.Epoch, read.End
+		next = fuchsiarouter.Position{Epoch: read.Epoch, Offset: read.End}
 		// The records are stored before the confirmation: readers take the age of the copy
 		// before its records, so the records are never older than that age says.
 		m.copies.store(topic, read)
@@ -307,9 +314,11 @@
 }
 
 // readTopic reads the newest record of every key when complete is set, and otherwise the
-// records from an offset on. If the topic ends before this offset, the error is errStale for
-// a relayed read and an ExpiredError for a read of the registry.
-func (m *Mirror) readTopic(source fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from int64, wait time.Duration, complete bool) (topicBatch, error) {
+// records from a position on. If the topic ends before this position, the error is errStale
+// for a relayed read and an ExpiredError for a read of the registry. If the topic is of
+// another epoch, the error is errStale for a relayed read of an earlier one, and errRestored
+// for a read that is not complete.
+func (m *Mirror) readTopic(source fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration, complete bool) (topicBatch, error) {
 	sent := m.settings.Clock()
 	var read fuchsiarouter.KeyedBatch
 	var err error
@@ -324,12 +333,18 @@
 			partial = end < read.End
 			read.End = end
 		}
-		switch {
-		case err == nil && read.End < from && read.Relayed:
-			err = errStale
-		case err == nil && read.End < from:
-			err = &fuchsiarouter.ExpiredError{OldestOffset: read.End}
-		}
+	}
+	switch {
+	case err != nil:
+	case read.Relayed && read.Epoch < from.Epoch:
+		err = errStale
+	case complete:
+	case read.Epoch != from.Epoch:
+		err = errRestored
+	case read.End < from.Offset && read.Relayed:
+		err = errStale
+	case read.End < from.Offset:
+		err = &fuchsiarouter.ExpiredError{OldestOffset: read.End}
 	}
 	return topicBatch{KeyedBatch: read, complete: complete, partial: partial, sentAt: sent, receivedAt: m.settings.Clock()}, err
 }
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -47,7 +47,7 @@
 	return &memoryRegistry{epoch: 1, records: map[fuchsiarouter.Topic][]fuchsiarouter.KeyedRecord{}}
 }
 
-func (s *memoryRegistry) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (s *memoryRegistry) Read(topic fuchsiarouter.Topic, position fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		s.reads++
@@ -55,6 +55,11 @@
 			s.mu.Unlock()
 			return fuchsiarouter.KeyedBatch{}, errDown
 		}
+		from := position.Offset
+		if position.Epoch != s.epoch {
+			s.mu.Unlock()
+			return fuchsiarouter.KeyedBatch{Epoch: s.epoch, Relayed: s.age != 0, Age: s.age}, nil
+		}
 		if from < s.firstOffset {
 			s.mu.Unlock()
 			return fuchsiarouter.KeyedBatch{}, &fuchsiarouter.ExpiredError{OldestOffset: s.firstOffset}
@@ -270,7 +275,7 @@
 		put(t, registry, fuchsiarouter.TopicServers, "b", `{"Service":"s"}`)
 		registry.change(func() { registry.firstOffset = 2 })
 		time.Sleep(time.Second)
-		after, known := m.Read(fuchsiarouter.TopicServers, batch.End, 0)
+		after, known := m.Read(fuchsiarouter.TopicServers, fuchsiarouter.Position{Epoch: batch.Epoch, Offset: batch.End}, 0)
 		g.Expect(known).To(gomega.BeTrue())
 		removed := map[string]bool{}
 		for _, record := range after.Records {
@@ -292,7 +297,7 @@
 		m := startMirror(registry)
 		defer m.Close()
 		time.Sleep(time.Second)
-		batch, known := m.Read(fuchsiarouter.TopicOperator, 1, 2*time.Second)
+		batch, known := m.Read(fuchsiarouter.TopicOperator, fuchsiarouter.Position{Epoch: 1, Offset: 1}, 2*time.Second)
 		g.Expect(known).To(gomega.BeTrue())
 		g.Expect(batch.Age).To(gomega.BeNumerically("<", 0))
 		at := time.Now().Add(-2 * time.Second).Add(-batch.Age)
@@ -388,7 +393,7 @@
 // mirrorSource relays the copy of a mirror.
 type mirrorSource struct{ reader *mirror.Mirror }
 
-func (c mirrorSource) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (c mirrorSource) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	batch, _ := c.reader.Read(topic, from, wait)
 	return batch, nil
 }
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -46,7 +46,6 @@
 
 // TestReusedOffsetsAreRead guards against a configuration that no read returns, since its offset was already read before a restoration (CONFIG).
 func TestReusedOffsetsAreRead(t *testing.T) {
-	skipUnlessKnownRed(t)
 	for name, restorations := range map[string]int{"one restoration": 1, "two in a row": 2} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -72,7 +71,6 @@
 
 // TestFollowerReadsRestoredCopy guards against followers that refuse the copy of a restored topic, or read only part of it (CONFIG).
 func TestFollowerReadsRestoredCopy(t *testing.T) {
-	skipUnlessKnownRed(t)
 	for name, after := range map[string][]string{
 		"fewer records": {"config", "5"},
 		"as many":       {"config", "5", "m", "2"},
@@ -101,7 +99,6 @@
 
 // TestCopyOfEarlierEpochIsRefused guards against a stale copy that undoes what was read since the restoration (DRAIN).
 func TestCopyOfEarlierEpochIsRefused(t *testing.T) {
-	skipUnlessKnownRed(t)
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		registry, peer := newRegistry(), newRegistry()
--- a/registry.go
+++ b/registry.go
@@ -21,6 +21,15 @@
 	TopicEntries
 )
 
+// Position is a place in a topic. Only the offsets of positions of one epoch can be compared.
+type Position struct {
+	// Epoch is the number of the registry's history that the position belongs to. It
+	// increases whenever the registry is restored from a backup, which loses the newest
+	// records and reuses their offsets. It is 0 if the registry does not report it.
+	Epoch  int64
+	Offset int64
+}
+
 // KeyedRecord is a record of a topic. A record without a value removes its key.
 type KeyedRecord struct {
 	// Offset is the position of the record in the topic.
@@ -36,10 +45,7 @@
 
 // KeyedBatch is the result of a read of a topic.
 type KeyedBatch struct {
-	// Epoch is the number of the registry's history from which the records come. It
-	// increases whenever the registry is restored from a backup, which loses the newest
-	// records and reuses their offsets, so only offsets of one epoch can be compared. It is
-	// 0 if the registry does not report it.
+	// Epoch is the epoch of the records and of End, see Position.
 	Epoch int64
 	// End is the offset after the newest record of the topic.
 	End int64
@@ -66,10 +72,11 @@
 
 // TopicReader reads topics, either from the platform or through a relaying daemon.
 type TopicReader interface {
-	// Read returns the records from the offset from on, up to the end of the topic. If
-	// there are none, it waits for the first one, but no longer than wait. If records in
-	// this range have been removed, it returns an *ExpiredError.
-	Read(topic Topic, from int64, wait time.Duration) (KeyedBatch, error)
+	// Read returns the records from the position on, up to the end of the topic. If there
+	// are none, it waits for the first one, but no longer than wait. If records in this
+	// range have been removed, it returns an *ExpiredError. If the topic is of another epoch
+	// than the position, it returns a batch of that epoch without records.
+	Read(topic Topic, from Position, wait time.Duration) (KeyedBatch, error)
 	// ReadNewest returns the newest record of every key. The result is not a consistent
 	// snapshot: a record that is written during the read may be missing, but then its
 	// offset is not below the End of the batch, so that a Read from there returns it.
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -93,8 +93,8 @@
 }
 
 // Read implements fuchsiarouter.TopicReader.
-func (c *Client) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
-	return c.get("?topic="+strconv.Itoa(int(topic))+"&from="+strconv.FormatInt(from, 10)+
+func (c *Client) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	return c.get("?topic="+strconv.Itoa(int(topic))+"&epoch="+strconv.FormatInt(from.Epoch, 10)+"&from="+strconv.FormatInt(from.Offset, 10)+
 		"&wait-ms="+strconv.FormatInt(wait.Milliseconds(), 10), wait)
 }
 
@@ -145,7 +145,7 @@
 // those of fuchsiarouter.TopicReader, but return false, in place of an error, when the
 // entry has not read the topic yet.
 type TopicCopy interface {
-	Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, bool)
+	Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, bool)
 	ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, bool)
 }
 
@@ -169,7 +169,7 @@
 		} else {
 			from = int64(query.GetUintOrZero("from"))
 			wait := min(time.Duration(query.GetUintOrZero("wait-ms"))*time.Millisecond, maxWait)
-			batch, found = topics.Read(topic, from, wait)
+			batch, found = topics.Read(topic, fuchsiarouter.Position{Epoch: int64(query.GetUintOrZero("epoch")), Offset: from}, wait)
 		}
 		if !found {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -21,7 +21,7 @@
 	value   []byte
 }
 
-func (f *fakeCopy) Read(_ fuchsiarouter.Topic, _ int64, _ time.Duration) (fuchsiarouter.KeyedBatch, bool) {
+func (f *fakeCopy) Read(_ fuchsiarouter.Topic, _ fuchsiarouter.Position, _ time.Duration) (fuchsiarouter.KeyedBatch, bool) {
 	return f.ReadNewest(0)
 }
 
@@ -51,7 +51,7 @@
 	g := gomega.NewWithT(t)
 	client := newClient(t, &fakeCopy{written: time.Now().Add(-time.Second), value: []byte("v")})
 	for range 3 {
-		batch, err := client.Read(fuchsiarouter.TopicOperator, 7, 0)
+		batch, err := client.Read(fuchsiarouter.TopicOperator, fuchsiarouter.Position{Offset: 7}, 0)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(batch.End).To(gomega.Equal(int64(8)))
 		g.Expect(batch.Relayed).To(gomega.BeTrue())
--- a/standin/platformtest/restore_test.go
+++ b/standin/platformtest/restore_test.go
@@ -31,7 +31,6 @@
 
 // TestKeyRevokedAfterRestoration guards against a configuration at a reused offset that an entry misses (CONFIG).
 func TestKeyRevokedAfterRestoration(t *testing.T) {
-	skipUnlessKnownRed(t)
 	g := gomega.NewWithT(t)
 	f := startFleet(t)
 	time.Sleep(200 * time.Millisecond)
