mirror: keep the newer record when the registry was restored from a backup

A restored registry holds the records of the backup until the operator and the servers write again. The copy of a daemon took them over as they were. So a server that drained, or had left, counted as ready again (DRAIN), one that had registered since was dropped at once, and a process that started on the copy of an entry got an older configuration or version than the entry itself worked with (CONFIG, VERSION).

The first read of a topic of another epoch is now compared with the copy. Of two registrations of a server the one of the later incarnation or the higher sequence counts, of two configurations or versions the higher one; the operator's records that the backup lacks are kept with their dates. The last registration of a server that has left is kept for five minutes, so that the backup can't bring it back; a new registration does. Servers that the backup lacks have as long to register again as after an outage.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -14,6 +14,8 @@
 	// ID.
 	ID      string
 	Started int64
+	// Sequence increases with each registration of an incarnation.
+	Sequence int64
 	// Service is the name of the service that the server belongs to.
 	Service          string
 	Address          string
@@ -37,6 +39,15 @@
 	return s.ID == other.ID && s.Started == other.Started && s.Address == other.Address && s.Service == other.Service
 }
 
+// Precedes reports whether the registration was certainly written before another one of the
+// same ID: by an earlier incarnation, or earlier by the same one.
+func (s *Server) Precedes(other *Server) bool {
+	if s.Started != other.Started {
+		return s.Started != 0 && s.Started < other.Started
+	}
+	return s.IsSameIncarnation(other) && s.Sequence < other.Sequence
+}
+
 // DeclaredVersion is the weight version that operators declared for a model: from a fixed
 // time after the declaration on, no request may begin on an older one.
 type DeclaredVersion struct {
--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"maps"
 	"sync"
 	"time"
 
@@ -22,6 +23,8 @@
 	// writtenAt holds, by key, the earliest boot time at which each record may have been
 	// written.
 	writtenAt map[string]time.Duration
+	// removed holds the last records of the keys that were removed within removalRetention.
+	removed map[string]removedRecord
 	// epoch is the epoch of the records, and end the offset after the newest one.
 	epoch, end int64
 	// changed is closed when a record is added or the copy is replaced. After an added
@@ -42,7 +45,8 @@
 	kept := older
 	if older == nil || read.complete {
 		fresh := &topicCopy{
-			records: map[string]fuchsiarouter.KeyedRecord{}, writtenAt: map[string]time.Duration{}, changed: make(chan struct{}),
+			records: map[string]fuchsiarouter.KeyedRecord{}, writtenAt: map[string]time.Duration{},
+			removed: map[string]removedRecord{}, changed: make(chan struct{}),
 		}
 		if older != nil {
 			fresh.addRemovals(older, read)
@@ -57,6 +61,11 @@
 			if older.holds(record) {
 				writtenAt = min(writtenAt, older.writtenAt[record.Key])
 			}
+			if len(record.Value) > 0 {
+				delete(kept.removed, record.Key)
+			} else {
+				kept.rememberRemoval(kept, record.Key, read.receivedAt)
+			}
 			kept.records[record.Key] = record
 			kept.writtenAt[record.Key] = writtenAt
 		}
@@ -82,9 +91,11 @@
 // removals of the keys that still exist. Readers of the older copy thus learn which keys
 // are gone.
 func (c *topicCopy) addRemovals(older *topicCopy, read topicBatch) {
+	c.removed = maps.Clone(older.removed)
 	for key, record := range older.records {
 		if len(record.Value) > 0 {
 			c.records[key] = fuchsiarouter.KeyedRecord{Key: key, Offset: max(read.End-1, 0)}
+			c.rememberRemoval(older, key, read.receivedAt)
 		}
 	}
 }
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -5,7 +5,9 @@
 // weight versions, and the topic of backend servers. Each loop starts with the newest
 // record of every key and continues with the records after it. When unread records have
 // been removed, or the registry was restored from a backup, the loop starts over, and it
-// never replaces a configuration or a declared version by an older one.
+// never replaces a configuration or a declared version by an older one. A registry that was
+// restored holds older records for a moment; the copy keeps the newer ones until they are
+// written again.
 //
 // A loop reads from the registry or, through another daemon, from that daemon's copy,
 // which is called a relayed read. A successful read of the registry confirms the copy as
@@ -287,6 +289,9 @@
 			failing = false
 		}
 		selector.markWorking(index)
+		if complete {
+			m.keepNewer(topic, &read)
+		}
 		apply(read)
 		next = fuchsiarouter.Position{Epoch: read.Epoch, Offset: read.End}
 		// The records are stored before the confirmation: readers take the age of the copy
--- /dev/null
+++ b/mirror/restore.go
@@ -0,0 +1,94 @@
+package mirror
+
+import (
+	"bytes"
+	"time"
+
+	"github.com/fuchsiarouter/fuchsiarouter"
+)
+
+// removalRetention is the time for which the last record of a removed key is kept. The backup
+// from which the registry is restored is younger.
+const removalRetention = 5 * time.Minute
+
+// removedRecord is the last record of a removed key, and the boot time at which the removal
+// was read.
+type removedRecord struct {
+	fuchsiarouter.KeyedRecord
+	at time.Duration
+}
+
+// rememberRemoval keeps the record that the older copy has of a key that is removed.
+func (c *topicCopy) rememberRemoval(older *topicCopy, key string, at time.Duration) {
+	for other, record := range c.removed {
+		if at-record.at >= removalRetention {
+			delete(c.removed, other)
+		}
+	}
+	if record := older.records[key]; len(record.Value) > 0 {
+		c.removed[key] = removedRecord{record, at}
+	}
+}
+
+// keepNewer changes the records of a read of a whole topic, which is the first one after a
+// restoration of the registry, so that nothing goes back to the state of the backup until the
+// lost records are written again: a record that is older than the one in the copy is replaced
+// by that one, the registration of a server that has left since is left out, and the
+// operator's records that are missing are added. Servers that are missing are left to
+// serverRegistrations.
+func (m *Mirror) keepNewer(topic fuchsiarouter.Topic, read *topicBatch) {
+	m.copies.mu.Lock()
+	defer m.copies.mu.Unlock()
+	kept := m.copies.topics[topic]
+	if kept == nil || kept.epoch == read.Epoch {
+		return
+	}
+	records, found := make([]fuchsiarouter.KeyedRecord, 0, len(read.Records)), map[string]bool{}
+	for _, record := range read.Records {
+		found[record.Key] = true
+		removed, isRemoved := kept.removed[record.Key]
+		if topic == fuchsiarouter.TopicServers && isRemoved &&
+			(bytes.Equal(record.Value, removed.Value) || m.precedes(topic, record, removed.KeyedRecord)) {
+			continue
+		}
+		if known := kept.records[record.Key]; m.precedes(topic, record, known) {
+			record.Value = known.Value
+		}
+		records = append(records, record)
+	}
+	if topic == fuchsiarouter.TopicOperator {
+		for key, known := range kept.records {
+			if !found[key] && len(known.Value) > 0 {
+				records = append(records, fuchsiarouter.KeyedRecord{Offset: max(read.End-1, 0), Key: key, Value: known.Value})
+			}
+		}
+	}
+	read.Records = records
+}
+
+// precedes reports whether a record was certainly written before another one of its key.
+func (m *Mirror) precedes(topic fuchsiarouter.Topic, record, other fuchsiarouter.KeyedRecord) bool {
+	if len(record.Value) == 0 || len(other.Value) == 0 {
+		return false
+	}
+	if topic == fuchsiarouter.TopicServers {
+		server, err := m.registry.DecodeServer(record)
+		if err != nil {
+			return false
+		}
+		known, err := m.registry.DecodeServer(other)
+		return err == nil && server.Precedes(known)
+	}
+	change, err := m.registry.DecodeOperatorChange(record)
+	if err != nil {
+		return false
+	}
+	known, err := m.registry.DecodeOperatorChange(other)
+	if err != nil {
+		return false
+	}
+	if change.Configuration != nil && known.Configuration != nil {
+		return change.Configuration.Version < known.Configuration.Version
+	}
+	return change.Model != "" && change.Model == known.Model && change.Version < known.Version
+}
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -1,7 +1,6 @@
 package mirror_test
 
 import (
-	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -14,13 +13,6 @@
 	"github.com/fuchsiarouter/fuchsiarouter/mirror"
 )
 
-// skipUnlessKnownRed skips a test that is listed in KNOWN-RED.txt unless KNOWN_RED is set.
-func skipUnlessKnownRed(t *testing.T) {
-	if os.Getenv("KNOWN_RED") == "" {
-		t.Skip("see KNOWN-RED.txt")
-	}
-}
-
 // restore drops all records of the topic but the first ones, and begins a new epoch.
 func (s *memoryRegistry) restore(topic fuchsiarouter.Topic, kept int) {
 	s.change(func() {
@@ -126,7 +118,6 @@
 
 // TestRestorationKeepsStatesOfServers guards against requests to servers that drain or have left according to records that are lost (DRAIN).
 func TestRestorationKeepsStatesOfServers(t *testing.T) {
-	skipUnlessKnownRed(t)
 	const format = `{"Service":"s","Address":"127.0.0.1:1","Started":7,`
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
@@ -171,7 +162,6 @@
 
 // TestCopyKeepsNewerRecordsOfOperator guards against a process that starts after a restoration on an older configuration than its relay has (CONFIG, VERSION).
 func TestCopyKeepsNewerRecordsOfOperator(t *testing.T) {
-	skipUnlessKnownRed(t)
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		registry := newRegistry()
--- a/mirror/servers.go
+++ b/mirror/servers.go
@@ -20,8 +20,10 @@
 	graceUntil map[string]time.Duration
 	// outageUntil is the boot time until which removals are attributed to an outage, 0
 	// when there was none. It is reregisterGrace after the first read that followed the
-	// outage.
+	// outage. A restoration of the registry counts as an outage.
 	outageUntil time.Duration
+	// epoch is that of the last read.
+	epoch int64
 }
 
 // applyRecords applies a read of the servers' topic. A server whose registration was
@@ -30,9 +32,10 @@
 // new record cannot be decoded is removed.
 func (r *serverRegistrations) applyRecords(read topicBatch) {
 	now := r.mirror.settings.Clock()
-	if r.mirror.ServersAge() > outageThreshold && len(r.servers) > 0 {
+	if (r.mirror.ServersAge() > outageThreshold || read.Epoch != r.epoch) && len(r.servers) > 0 {
 		r.outageUntil = now + reregisterGrace
 	}
+	r.epoch = read.Epoch
 	next := make(map[string]*catalog.Server, len(r.servers))
 	seen := map[string]bool{}
 	if !read.complete {
