mirror: leave a relay of an earlier epoch at once

A daemon that has read the restored registry tries its preferred source again every 1.5 s. If that is an entry that still has its copy of before the restoration, the copy counted as one that merely had not been refreshed yet, and was asked for until the own copy was 0.9 s (servers) or 1.25 s (operator) old, without a read elsewhere.

A relayed copy of an earlier epoch is now a failed source right away. TestPreferredSourceOfEarlierEpoch failed before.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -76,9 +76,13 @@
 }
 
 // errStale is the error of a relayed read whose copy was confirmed no later than the own
-// one, is of an earlier epoch, or ends before the offset that was read.
+// one, or ends before the offset that was read.
 var errStale = errors.New("the copy of the other daemon is no newer than the own one")
 
+// errEarlierEpoch is the error of a relayed read of a copy that is of an earlier epoch than
+// the own one.
+var errEarlierEpoch = errors.New("the copy of the other daemon is from before the registry was restored")
+
 // errRestored is the error of a read from a position that is not of the source's epoch.
 var errRestored = errors.New("the registry was restored since the last read")
 
@@ -336,8 +340,8 @@
 // readTopic reads the newest record of every key when complete is set, and otherwise the
 // records from a position on. If the topic ends before this position, the error is errStale
 // for a relayed read and an ExpiredError for a read of the registry. If the topic is of
-// another epoch, the error is errStale for a relayed read of an earlier one, and errRestored
-// for a read that is not complete.
+// another epoch, the error is errEarlierEpoch for a relayed read of an earlier one, and
+// errRestored for other reads that are not complete.
 func (m *Mirror) readTopic(source fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration, complete bool) (topicBatch, error) {
 	sent := m.settings.Clock()
 	var read fuchsiarouter.KeyedBatch
@@ -357,7 +361,7 @@
 	switch {
 	case err != nil:
 	case read.Relayed && read.Epoch < from.Epoch:
-		err = errStale
+		err = errEarlierEpoch
 	case complete:
 	case read.Epoch != from.Epoch:
 		err = errRestored
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -187,3 +187,23 @@
 		g.Expect(reader.View().Configuration.Version).To(gomega.Equal(int64(4)))
 	})
 }
+
+// TestPreferredSourceOfEarlierEpoch guards against a copy that ages while a preferred source from before the restoration is tried (DRAIN).
+func TestPreferredSourceOfEarlierEpoch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry, peer := newRegistry(), newRegistry()
+		registry.epoch, peer.age = 2, time.Millisecond
+		began := time.Now()
+		m := mirror.New(registry, func() []fuchsiarouter.TopicReader { return []fuchsiarouter.TopicReader{peer, registry} },
+			mirror.Settings{Clock: func() time.Duration { return time.Since(began) }}, zap.NewNop(), func(*catalog.View) {})
+		defer m.Close()
+		peer.change(func() { peer.down = true })
+		time.Sleep(4 * time.Second)
+		peer.change(func() { peer.down = false })
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			g.Expect(m.ServersAge()).To(gomega.BeNumerically("<", 600*time.Millisecond))
+		}
+	})
+}
