mirror: don't take a server that a backup lacks for one that has left

A server that the first read after a restoration lacked was remembered as removed, so that a second restoration left its registration out, although it serves: it came back only with its next change. Forgetting it instead would let the second restoration bring back the state from before it drained.

Its last registration is now kept apart from those of servers that have left: an older record doesn't replace it, and the same one is accepted.

--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -64,7 +64,7 @@
 			if len(record.Value) > 0 {
 				delete(kept.removed, record.Key)
 			} else {
-				kept.rememberRemoval(kept, record.Key, read.receivedAt)
+				kept.rememberRemoval(kept, record.Key, read.receivedAt, false)
 			}
 			kept.records[record.Key] = record
 			kept.writtenAt[record.Key] = writtenAt
@@ -95,7 +95,7 @@
 	for key, record := range older.records {
 		if len(record.Value) > 0 {
 			c.records[key] = fuchsiarouter.KeyedRecord{Key: key, Offset: max(read.End-1, 0)}
-			c.rememberRemoval(older, key, read.receivedAt)
+			c.rememberRemoval(older, key, read.receivedAt, older.epoch != read.Epoch)
 		}
 	}
 }
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -16,24 +16,26 @@
 type removedRecord struct {
 	fuchsiarouter.KeyedRecord
 	at time.Duration
+	// missing is set if the key may not have been removed, but be missing in a backup.
+	missing bool
 }
 
 // rememberRemoval keeps the record that the older copy has of a key that is removed.
-func (c *topicCopy) rememberRemoval(older *topicCopy, key string, at time.Duration) {
+func (c *topicCopy) rememberRemoval(older *topicCopy, key string, at time.Duration, missing bool) {
 	for other, record := range c.removed {
 		if at-record.at >= removalRetention {
 			delete(c.removed, other)
 		}
 	}
 	if record := older.records[key]; len(record.Value) > 0 {
-		c.removed[key] = removedRecord{record, at}
+		c.removed[key] = removedRecord{record, at, missing}
 	}
 }
 
 // keepNewer changes the records of a read of a whole topic, which is the first one after a
 // restoration of the registry, so that nothing goes back to the state of the backup until the
 // lost records are written again: a record that is older than the one in the copy is replaced
-// by that one, the registration of a server that has left since is left out, and the
+// by that one, the record of a key that was removed since it was written is left out, and the
 // operator's records that are missing are added. Servers that are missing are left to
 // serverRegistrations.
 func (m *Mirror) keepNewer(topic fuchsiarouter.Topic, read *topicBatch) {
@@ -46,12 +48,16 @@
 	records, found := make([]fuchsiarouter.KeyedRecord, 0, len(read.Records)), map[string]bool{}
 	for _, record := range read.Records {
 		found[record.Key] = true
+		known := kept.records[record.Key]
 		removed, isRemoved := kept.removed[record.Key]
-		if topic == fuchsiarouter.TopicServers && isRemoved &&
-			(bytes.Equal(record.Value, removed.Value) || m.precedes(topic, record, removed.KeyedRecord)) {
+		if isRemoved {
+			known = removed.KeyedRecord
+		}
+		isOlder := m.precedes(topic, record, known)
+		if isRemoved && !removed.missing && (isOlder || bytes.Equal(record.Value, known.Value)) {
 			continue
 		}
-		if known := kept.records[record.Key]; m.precedes(topic, record, known) {
+		if isOlder {
 			record.Value = known.Value
 		}
 		records = append(records, record)
