--- a/relay/cache.go
+++ b/relay/cache.go
@@ -26,7 +26,7 @@
 	// agree in these four have the same records.
 	from, epoch, end int64
 	records          int
-	data      []byte
+	data             []byte
 	// compressed is set when data is compressed with gzip.
 	compressed bool
 }
