relay: refuse reads without an epoch

A daemon of an earlier version, during an upgrade, reads through an entry from an offset without an epoch. The entry took that for a position of epoch 0 and answered without records, since it has another epoch; the daemon took the batch for the end of the topic and missed each change until the end of the upgrade (CONFIG). Such a read now fails, so that the daemon reads the registry instead.

TestReadWithoutEpochIsRefused failed before.

--- a/relay/relay.go
+++ b/relay/relay.go
@@ -150,7 +150,9 @@
 }
 
 // Handler returns an HTTP handler that serves the reads of clients from a copy. It
-// responds with status 503 when the entry has not read the topic yet.
+// responds with status 503 when the entry has not read the topic yet, and with status 400 to
+// a read from an offset without an epoch, as daemons of earlier versions send it: they would
+// take the response to a position of another epoch for the end of the topic.
 func Handler(topics TopicCopy) fasthttp.RequestHandler {
 	var cache responseCache
 	return func(ctx *fasthttp.RequestCtx) {
@@ -164,9 +166,13 @@
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 			return
 		}
-		if query.Has("newest") {
+		switch {
+		case query.Has("newest"):
 			batch, found = topics.ReadNewest(topic)
-		} else {
+		case !query.Has("epoch"):
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		default:
 			from = int64(query.GetUintOrZero("from"))
 			wait := min(time.Duration(query.GetUintOrZero("wait-ms"))*time.Millisecond, maxWait)
 			batch, found = topics.Read(topic, fuchsiarouter.Position{Epoch: int64(query.GetUintOrZero("epoch")), Offset: from}, wait)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -91,3 +91,15 @@
 	g.Expect(batch.Epoch).To(gomega.Equal(int64(2)))
 	g.Expect(string(batch.Records[0].Value)).To(gomega.Equal("new"))
 }
+
+// TestReadWithoutEpochIsRefused guards against a daemon of an earlier version that takes a batch without records, of another epoch, for the end of the topic (CONFIG).
+func TestReadWithoutEpochIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	handler := relay.Handler(&fakeCopy{written: time.Now(), epoch: 1, value: []byte("v")})
+	for query, status := range map[string]int{"from=7": 400, "from=7&epoch=1": 200, "newest=1": 200} {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI("/records?topic=0&" + query)
+		handler(&ctx)
+		g.Expect(ctx.Response.StatusCode()).To(gomega.Equal(status), query)
+	}
+}
