standin: restore the store from a backup in the soak of entries

Each run has one or more restorations after an outage of up to 2 s, from a backup of up to 8 s before; the configuration and the registrations of servers are then written again.

--- a/standin/soak/fault.go
+++ b/standin/soak/fault.go
@@ -41,7 +41,8 @@
 	for at := randomDuration(rng, minFaultInterval, maxFaultInterval); at < settings.FaultWindow; at += randomDuration(rng, minFaultInterval, maxFaultInterval) {
 		faults = append(faults, fault{startAfter: at, inject: drawFault(rng, settings)})
 	}
-	return append(faults, drawAvailabilityFaults(rng, settings)...)
+	faults = append(faults, drawAvailabilityFaults(rng, settings)...)
+	return append(faults, drawRestorations(rng, settings)...)
 }
 
 // randomDuration returns a random duration of at least low and less than high.
@@ -147,9 +148,9 @@
 		}
 	}
 	f.mu.Unlock()
-	f.store.Put(keyedstore.TopicServers, leaving.ID, leaving.registration("draining"))
+	f.register(leaving.ID, leaving.registration("draining"))
 	sleep(ctx, drainTime)
-	f.store.Put(keyedstore.TopicServers, leaving.ID, "")
+	f.register(leaving.ID, "")
 	leaving.disturbances.record()
 	leaving.link.SetState(link.Cut)
 }
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -73,7 +73,11 @@
 	allServers []*server
 	// serversStarted counts the servers of all services. The IDs of servers contain it.
 	serversStarted int
-	// configVersion is the version of the configuration that was published last.
+	// registrations holds the newest registration of each server by ID, empty for one that was
+	// removed.
+	registrations map[string]string
+	// configuration is the configuration that was published last, configVersion its version.
+	configuration string
 	configVersion int
 	// revokedAt holds the time at which each revoked API key was revoked, by key. It is in
 	// the future while the revocation is being published; see revokeKey.
@@ -99,7 +103,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "store")
 	}
-	f := &fleet{settings: settings, plan: setup, store: store, servers: map[string][]*server{}, revokedAt: map[string]time.Time{}}
+	f := &fleet{settings: settings, plan: setup, store: store, servers: map[string][]*server{}, registrations: map[string]string{}, revokedAt: map[string]time.Time{}}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	for range serversPerService {
 		for _, service := range setup.services {
@@ -173,10 +177,19 @@
 	}}
 	f.servers[service] = append(f.servers[service], added)
 	f.allServers = append(f.allServers, added)
-	f.store.Put(keyedstore.TopicServers, id, added.registration("ready"))
+	f.registrations[id] = added.registration("ready")
+	f.store.Put(keyedstore.TopicServers, id, f.registrations[id])
 	return nil
 }
 
+// register puts the registration of a server into the store.
+func (f *fleet) register(id, registration string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.registrations[id] = registration
+	f.store.Put(keyedstore.TopicServers, id, registration)
+}
+
 // normalBehaviour is the behaviour of a server without injected faults.
 var normalBehaviour = backendserver.Behaviour{StreamEvents: eventsPerStream, EventInterval: 20 * time.Millisecond, ResponseDelay: 5 * time.Millisecond}
 
@@ -195,9 +208,10 @@
 		}
 		workspaces = append(workspaces, fmt.Sprintf(`{"name":"w%d","apiKeys":[%s]}`, index, apiKeys))
 	}
-	f.store.Put(keyedstore.TopicOperator, "config", fmt.Sprintf(
+	f.configuration = fmt.Sprintf(
 		`{"version":%d,"routes":%s,"services":%s,"limits":{"maxHeaderBytes":4096,"maxBodyBytes":10000},"tenants":[%s]}`,
-		f.configVersion, f.plan.routesJSON, f.plan.servicesJSON, strings.Join(workspaces, ",")))
+		f.configVersion, f.plan.routesJSON, f.plan.servicesJSON, strings.Join(workspaces, ","))
+	f.store.Put(keyedstore.TopicOperator, "config", f.configuration)
 }
 
 // apiKey returns the API key with the index, from 0 to keyCount-1.
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -7,9 +7,9 @@
 // the backend servers and the callers are stand-ins that run in this process.
 //
 // The seed determines the whole fault schedule: entry processes are killed, stopped
-// gracefully and paused, proxied connections are cut or stalled, the store is down or
-// drops older records, servers fail, drain, leave, ask for pauses and are replaced, and API
-// keys are revoked.
+// gracefully and paused, proxied connections are cut or stalled, the store is down, drops
+// older records or is restored from a backup, servers fail, drain, leave, ask for pauses and
+// are replaced, and API keys are revoked.
 // Faults follow each other closely and overlap. Callers keep their connections open
 // between requests, until the entry process exits.
 //
