mirror: hold the lock of the tests' registry for all its fields

The race detector reports reads of the fake's fields after its lock was released, in TestPartialReadDoesNotConfirm since that test was written, and in TestRandomRestorations. The checks are unchanged.

--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -57,12 +57,14 @@
 		}
 		from := position.Offset
 		if position.Epoch != s.epoch {
+			batch := fuchsiarouter.KeyedBatch{Epoch: s.epoch, Relayed: s.age != 0, Age: s.age}
 			s.mu.Unlock()
-			return fuchsiarouter.KeyedBatch{Epoch: s.epoch, Relayed: s.age != 0, Age: s.age}, nil
+			return batch, nil
 		}
 		if from < s.firstOffset {
+			err := &fuchsiarouter.ExpiredError{OldestOffset: s.firstOffset}
 			s.mu.Unlock()
-			return fuchsiarouter.KeyedBatch{}, &fuchsiarouter.ExpiredError{OldestOffset: s.firstOffset}
+			return fuchsiarouter.KeyedBatch{}, err
 		}
 		all := s.records[topic]
 		batch := fuchsiarouter.KeyedBatch{Epoch: s.epoch, End: int64(len(all)), Relayed: s.age != 0, Age: s.age}
@@ -73,9 +75,10 @@
 			}
 			batch.Records = append(batch.Records, all[from:end]...)
 		}
+		isLimited := s.maxRecords > 0
 		s.mu.Unlock()
 		if len(batch.Records) > 0 || !time.Now().Before(end) {
-			if s.maxRecords > 0 {
+			if isLimited {
 				time.Sleep(time.Millisecond)
 			}
 			return batch, nil
--- a/mirror/restore_random_test.go
+++ b/mirror/restore_random_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -21,19 +22,19 @@
 // flakySource is a source that fails while it is cut.
 type flakySource struct {
 	fuchsiarouter.TopicReader
-	cut *bool
+	cut *atomic.Bool
 }
 
 func (f flakySource) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	batch, err := f.TopicReader.Read(topic, from, wait)
-	if *f.cut {
+	if f.cut.Load() {
 		return fuchsiarouter.KeyedBatch{}, errDown
 	}
 	return batch, err
 }
 
 func (f flakySource) ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, error) {
-	if *f.cut {
+	if f.cut.Load() {
 		return fuchsiarouter.KeyedBatch{}, errDown
 	}
 	return f.TopicReader.ReadNewest(topic)
@@ -97,7 +98,7 @@
 			registry.publish()
 			began := time.Now()
 			settings := mirror.Settings{Clock: func() time.Duration { return time.Since(began) }, RelayWait: 100 * time.Millisecond}
-			cuts := make([]bool, 6)
+			cuts := make([]atomic.Bool, 6)
 			start := func(sources ...fuchsiarouter.TopicReader) *mirror.Mirror {
 				return mirror.New(registry.memoryRegistry, func() []fuchsiarouter.TopicReader { return sources }, settings, zap.NewNop(), func(*catalog.View) {})
 			}
@@ -151,7 +152,7 @@
 					registry.change(func() { registry.down = down })
 				case 7:
 					index := random.IntN(len(cuts))
-					cuts[index] = !cuts[index]
+					cuts[index].Store(!cuts[index].Load())
 				}
 				for range random.IntN(12) {
 					time.Sleep(50 * time.Millisecond)
@@ -159,7 +160,9 @@
 				}
 			}
 			registry.change(func() { registry.down = false })
-			clear(cuts)
+			for index := range cuts {
+				cuts[index].Store(false)
+			}
 			time.Sleep(6 * time.Second)
 			check()
 			for i, m := range mirrors {
