--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -1,6 +1,7 @@
 package mirror
 
 import (
+	"maps"
 	"sync"
 	"time"
 
@@ -21,8 +22,10 @@
 	// writtenAt holds, by key, the earliest boot time at which each record may have been
 	// written.
 	writtenAt map[string]time.Duration
-	// end is the offset after the newest record.
-	end int64
+	// removed holds the last records of the keys that were removed within removalRetention.
+	removed map[string]removedRecord
+	// epoch is the epoch of the records, and end the offset after the newest one.
+	epoch, end int64
 	// changed is closed when a record is added or the copy is replaced. After an added
 	// record, a new channel takes its place for the next change; a copy that replaces this
 	// one has its own.
@@ -41,7 +44,8 @@
 	kept := older
 	if older == nil || read.complete {
 		fresh := &topicCopy{
-			records: map[string]fuchsiarouter.KeyedRecord{}, writtenAt: map[string]time.Duration{}, changed: make(chan struct{}),
+			records: map[string]fuchsiarouter.KeyedRecord{}, writtenAt: map[string]time.Duration{},
+			removed: map[string]removedRecord{}, changed: make(chan struct{}),
 		}
 		if older != nil {
 			fresh.addRemovals(older, read)
@@ -56,11 +60,16 @@
 			if !ok {
 				writtenAt = read.recordWrittenAt(record)
 			}
+			if len(record.Value) > 0 {
+				delete(kept.removed, record.Key)
+			} else {
+				kept.rememberRemoval(kept, record.Key, read.receivedAt, false)
+			}
 			kept.records[record.Key] = record
 			kept.writtenAt[record.Key] = writtenAt
 		}
 	}
-	kept.end = read.End
+	kept.epoch, kept.end = read.Epoch, read.End
 	if len(read.Records) > 0 && !read.complete {
 		close(kept.changed)
 		kept.changed = make(chan struct{})
@@ -72,27 +81,33 @@
 // removals of the keys that still exist. Readers of the older copy thus learn which keys
 // are gone.
 func (c *topicCopy) addRemovals(older *topicCopy, read topicBatch) {
+	c.removed = maps.Clone(older.removed)
 	for key, record := range older.records {
 		if len(record.Value) > 0 {
 			c.records[key] = fuchsiarouter.KeyedRecord{Key: key, Offset: max(read.End-1, 0)}
+			c.rememberRemoval(older, key, read.receivedAt, older.epoch != read.Epoch)
 		}
 	}
 }
 
-// readFrom returns the newest record of each key, if its offset is at least from, for a
-// read that arrived at the given boot time, and a channel that is closed when the copy
-// changes. Records without a value, which stand for removed keys, are included when
-// removals is set. readFrom returns false when the topic was not read yet.
-func (c *topicCopies) readFrom(topic fuchsiarouter.Topic, from int64, removals bool, arrived time.Duration) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
+// readFrom returns the newest record of each key for a read that arrived at the given boot
+// time, and a channel that is closed when the copy changes. Unless newest is set, these are
+// the records from the position on, including those without a value, which stand for removed
+// keys, and none if the copy is of another epoch than the position. readFrom returns false
+// when the topic was not read yet.
+func (c *topicCopies) readFrom(topic fuchsiarouter.Topic, from fuchsiarouter.Position, newest bool, arrived time.Duration) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	kept := c.topics[topic]
 	if kept == nil {
 		return fuchsiarouter.KeyedBatch{}, nil, false
 	}
-	batch := fuchsiarouter.KeyedBatch{End: kept.end}
+	batch := fuchsiarouter.KeyedBatch{Epoch: kept.epoch, End: kept.end}
+	if !newest && from.Epoch != kept.epoch {
+		return batch, kept.changed, true
+	}
 	for _, record := range kept.records {
-		if record.Offset >= from && (removals || len(record.Value) > 0) {
+		if newest && len(record.Value) > 0 || !newest && record.Offset >= from.Offset {
 			record.Age = arrived - kept.writtenAt[record.Key]
 			batch.Records = append(batch.Records, record)
 		}
@@ -100,28 +115,28 @@
 	return batch, kept.changed, true
 }
 
-// Read returns the newest record of each key of a topic, if its offset is at least from.
-// When there is none, Read waits up to wait for the first one. The batch and its records
-// have their age at the time of the call, which is negative for what was read while Read
-// waited. Read returns false when the mirror has not read the topic yet.
-func (m *Mirror) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, bool) {
-	return m.readCopy(topic, from, wait, true)
+// Read returns the newest record of each key of a topic, if it is at the position or after
+// it. When there is none, Read waits up to wait for the first one. When the copy is of
+// another epoch than the position, Read returns no record and does not wait. The batch and
+// its records have their age at the time of the call, which is negative for what was read
+// while Read waited. Read returns false when the mirror has not read the topic yet.
+func (m *Mirror) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, bool) {
+	return m.readCopy(topic, from, wait, false)
 }
 
 // ReadNewest returns the newest record of every key of a topic that has a value. It
 // returns false when the mirror has not read the topic yet.
 func (m *Mirror) ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, bool) {
-	return m.readCopy(topic, 0, 0, false)
+	return m.readCopy(topic, fuchsiarouter.Position{}, 0, true)
 }
 
-// readCopy implements Read and ReadNewest. Records without a value, which stand for
-// removed keys, are included when removals is set.
-func (m *Mirror) readCopy(topic fuchsiarouter.Topic, from int64, wait time.Duration, removals bool) (fuchsiarouter.KeyedBatch, bool) {
+// readCopy implements Read, and ReadNewest when newest is set.
+func (m *Mirror) readCopy(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration, newest bool) (fuchsiarouter.KeyedBatch, bool) {
 	// The time of the confirmation is read before the records, so the records may be newer
 	// than the age of the batch says, but never older.
 	arrived, confirmed := m.settings.Clock(), m.confirmedAt(topic)
-	batch, changed, ok := m.copies.readFrom(topic, from, removals, arrived)
-	if ok && len(batch.Records) == 0 && wait > 0 {
+	batch, changed, ok := m.copies.readFrom(topic, from, newest, arrived)
+	if ok && len(batch.Records) == 0 && batch.Epoch == from.Epoch && wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
@@ -130,7 +145,7 @@
 		case <-m.closing:
 		}
 		confirmed = m.confirmedAt(topic)
-		batch, _, ok = m.copies.readFrom(topic, from, removals, arrived)
+		batch, _, ok = m.copies.readFrom(topic, from, newest, arrived)
 	}
 	batch.Relayed, batch.Age = true, arrived-confirmed
 	return batch, ok
--- a/mirror/date_test.go
+++ b/mirror/date_test.go
@@ -17,15 +17,15 @@
 // changedReader is a reader whose reads are changed by a test.
 type changedReader struct {
 	fuchsiarouter.TopicReader
-	read func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error)
+	read func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error)
 }
 
-func (c *changedReader) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (c *changedReader) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	return c.read(c.TopicReader, topic, from, wait)
 }
 
-// startFollower starts a mirror that reads from the sources only.
-func startFollower(registry fuchsiarouter.Registry, settings mirror.Settings, sources ...fuchsiarouter.TopicReader) *mirror.Mirror {
+// startWithSettings starts a mirror that reads from the sources only.
+func startWithSettings(registry fuchsiarouter.Registry, settings mirror.Settings, sources ...fuchsiarouter.TopicReader) *mirror.Mirror {
 	return mirror.New(registry, func() []fuchsiarouter.TopicReader { return sources }, settings, zap.NewNop(), func(*catalog.View) {})
 }
 
@@ -42,7 +42,7 @@
 				g := gomega.NewWithT(t)
 				registry := newRegistry()
 				put(t, registry, fuchsiarouter.TopicOperator, "m", "1")
-				relay := startFollower(registry, mirror.Settings{Clock: clockSince(time.Now(), time.Hour)}, registry)
+				relay := startWithSettings(registry, mirror.Settings{Clock: clockSince(time.Now(), time.Hour)}, registry)
 				defer relay.Close()
 				time.Sleep(time.Second)
 				declared := time.Now()
@@ -53,7 +53,7 @@
 					source = mirrorSource{relay}
 				}
 				clock := clockSince(time.Now(), 3*time.Second)
-				m := startFollower(registry, mirror.Settings{Clock: clock}, source)
+				m := startWithSettings(registry, mirror.Settings{Clock: clock}, source)
 				defer m.Close()
 				time.Sleep(100 * time.Millisecond)
 				g.Expect(m.View().DeclaredVersions["m"].Version).To(gomega.Equal(2))
@@ -90,11 +90,11 @@
 		registry := newRegistry()
 		put(t, registry, fuchsiarouter.TopicOperator, "m", "1")
 		clock := clockSince(time.Now(), 0)
-		reader := startFollower(registry, mirror.Settings{Clock: clock}, registry)
+		reader := startWithSettings(registry, mirror.Settings{Clock: clock}, registry)
 		defer reader.Close()
-		second := startFollower(registry, mirror.Settings{Clock: clock, RelayWait: 250 * time.Millisecond}, mirrorSource{reader})
+		second := startWithSettings(registry, mirror.Settings{Clock: clock, RelayWait: 250 * time.Millisecond}, mirrorSource{reader})
 		defer second.Close()
-		third := startFollower(registry, mirror.Settings{Clock: clock, OperatorWait: 2 * time.Second}, mirrorSource{second})
+		third := startWithSettings(registry, mirror.Settings{Clock: clock, OperatorWait: 2 * time.Second}, mirrorSource{second})
 		defer third.Close()
 		time.Sleep(2 * time.Second)
 		for version := 2; version <= 100; version++ {
@@ -117,7 +117,7 @@
 		registry := newRegistry()
 		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
 		clock := clockSince(time.Now(), 0)
-		m := startFollower(registry, mirror.Settings{Clock: clock}, registry)
+		m := startWithSettings(registry, mirror.Settings{Clock: clock}, registry)
 		defer m.Close()
 		time.Sleep(time.Second)
 		registry.change(func() {
@@ -143,9 +143,9 @@
 		registry := newRegistry()
 		put(t, registry, fuchsiarouter.TopicOperator, "config", "1")
 		clock := clockSince(time.Now(), 0)
-		m := startFollower(registry, mirror.Settings{Clock: clock}, &changedReader{
+		m := startWithSettings(registry, mirror.Settings{Clock: clock}, &changedReader{
 			TopicReader: registry,
-			read: func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+			read: func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 				return next.Read(topic, from, min(wait, 20*time.Millisecond))
 			},
 		})
@@ -174,7 +174,7 @@
 		g := gomega.NewWithT(t)
 		registry := slowNewest{newRegistry()}
 		clock := clockSince(time.Now(), 0)
-		m := startFollower(registry, mirror.Settings{Clock: clock}, registry)
+		m := startWithSettings(registry, mirror.Settings{Clock: clock}, registry)
 		defer m.Close()
 		time.Sleep(100 * time.Millisecond)
 		declared := clock()
--- a/mirror/freeze_test.go
+++ b/mirror/freeze_test.go
@@ -21,7 +21,7 @@
 	thawsAt atomic.Pointer[time.Time]
 }
 
-func (f *frozenReader) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (f *frozenReader) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	batch, err := f.memoryRegistry.Read(topic, from, wait)
 	if thawsAt := f.thawsAt.Load(); thawsAt != nil {
 		time.Sleep(time.Until(*thawsAt))
@@ -97,7 +97,7 @@
 	thawsAt atomic.Pointer[time.Time]
 }
 
-func (s *slowRelay) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (s *slowRelay) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	batch, err := s.mirrorSource.Read(topic, from, wait)
 	if thawsAt := s.thawsAt.Load(); thawsAt != nil {
 		time.Sleep(time.Until(*thawsAt))
@@ -151,7 +151,7 @@
 	frozen *atomic.Bool
 }
 
-func (f frozenRelay) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (f frozenRelay) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	if f.frozen.Load() {
 		time.Sleep(time.Second)
 		return fuchsiarouter.KeyedBatch{}, errDown
@@ -206,9 +206,7 @@
 
 // startReader starts a mirror that reads from the sources.
 func startReader(registry *memoryRegistry, sources ...fuchsiarouter.TopicReader) *mirror.Mirror {
-	began := time.Now()
-	settings := mirror.Settings{RelayWait: 250 * time.Millisecond, Clock: func() time.Duration { return time.Since(began) }}
-	return mirror.New(registry, func() []fuchsiarouter.TopicReader { return sources }, settings, zap.NewNop(), func(*catalog.View) {})
+	return startWithSettings(registry, mirror.Settings{RelayWait: 250 * time.Millisecond, Clock: clockSince(time.Now(), 0)}, sources...)
 }
 
 // TestFrozenReaderDoesNotTakeOldViewForNew guards against an old configuration that is judged by the age of a newer one (CONFIG).
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -4,8 +4,10 @@
 // Two loops read the operator's topic, which holds the configuration and the declared
 // weight versions, and the topic of backend servers. Each loop starts with the newest
 // record of every key and continues with the records after it. When unread records have
-// been removed, the loop starts over, and it never replaces a configuration or a declared
-// version by an older one.
+// been removed, or the registry was restored from a backup, the loop starts over, and it
+// never replaces a configuration or a declared version by an older one. A registry that was
+// restored holds older records for a moment; the copy keeps the newer ones until they are
+// written again.
 //
 // A loop reads from the registry or, through another daemon, from that daemon's copy,
 // which is called a relayed read. A successful read of the registry confirms the copy as
@@ -78,6 +80,13 @@
 // one, or ends before the offset that was read.
 var errStale = errors.New("the copy of the other daemon is no newer than the own one")
 
+// errEarlierEpoch is the error of a relayed read of a copy that is of an earlier epoch than
+// the own one.
+var errEarlierEpoch = errors.New("the copy of the other daemon is from before the registry was restored")
+
+// errRestored is the error of a read from a position that is not of the source's epoch.
+var errRestored = errors.New("the registry was restored since the last read")
+
 // Mirror is a daemon's copy of the registry. Its loops run until Close.
 type Mirror struct {
 	registry fuchsiarouter.Registry
@@ -92,6 +101,9 @@
 	operatorConfirmedAt atomic.Int64
 	serversConfirmedAt  atomic.Int64
 
+	// epoch is the latest epoch of the registry of which a topic was read.
+	epoch atomic.Int64
+
 	// mu serializes the changes of the view and the calls of onChange.
 	mu       sync.Mutex
 	onChange func(*catalog.View)
@@ -169,6 +181,17 @@
 	return m.settings.Clock() - time.Duration(m.serversConfirmedAt.Load())
 }
 
+// Epoch returns the latest epoch of the registry that was read from it or through another
+// daemon, see fuchsiarouter.Position. It is 0 before the first read.
+func (m *Mirror) Epoch() int64 { return m.epoch.Load() }
+
+// raiseEpoch records that a read of the epoch has succeeded.
+func (m *Mirror) raiseEpoch(epoch int64) {
+	for known := m.epoch.Load(); epoch > known && !m.epoch.CompareAndSwap(known, epoch); {
+		known = m.epoch.Load()
+	}
+}
+
 // HasServers reports whether the servers' topic was read at least once.
 func (m *Mirror) HasServers() bool { return m.serversConfirmedAt.Load() >= 0 }
 
@@ -229,7 +252,7 @@
 // passed to apply, stored in copies and, unless it is partial, updates the boot time
 // confirmed.
 func (m *Mirror) followTopic(topic fuchsiarouter.Topic, wait, interval time.Duration, confirmed *atomic.Int64, apply func(topicBatch)) {
-	next, complete, failing := int64(0), true, false
+	next, complete, failing := fuchsiarouter.Position{}, true, false
 	selector := sourceSelector{}
 	unchangedUntil, relayDelay, registryFailed := catalog.UnknownTime, time.Duration(0), false
 	startedAt := m.settings.Clock()
@@ -245,15 +268,19 @@
 			readWait = m.settings.RelayWait
 		}
 		read, err := m.readTopic(sources[index], topic, next, readWait, complete)
-		if err == nil && read.Relayed && int64(read.sentAt-read.Age) <= confirmed.Load() {
+		if err == nil && read.Relayed && read.Epoch == next.Epoch && int64(read.sentAt-read.Age) <= confirmed.Load() {
 			err = errStale
 		}
 		read.unchangedUntil, read.declaredAt = unchangedUntil, map[string]time.Duration{}
 		var expired *fuchsiarouter.ExpiredError
 		switch {
-		case errors.As(err, &expired):
-			m.log.Info("records expired, the topic is read anew", zap.Int("topic", int(topic)),
-				zap.Int64("position", next), zap.Int64("first", expired.OldestOffset))
+		case errors.As(err, &expired), errors.Is(err, errRestored):
+			fields := []zap.Field{zap.Int("topic", int(topic)), zap.Int64("epoch", next.Epoch), zap.Int64("position", next.Offset)}
+			if expired != nil {
+				m.log.Info("records expired, the topic is read anew", append(fields, zap.Int64("first", expired.OldestOffset))...)
+			} else {
+				m.log.Info("registry restored, the topic is read anew", append(fields, zap.Int64("read-epoch", read.Epoch), zap.Bool("relayed", relayed))...)
+			}
 			complete = true
 			if !m.sleep(rereadPause) {
 				return
@@ -273,7 +300,8 @@
 		case err != nil:
 			if !failing {
 				m.log.Warn("registry lost", zap.Int("topic", int(topic)), zap.Int("way", index),
-					zap.Bool("relayed", relayed), telemetry.Cause(err))
+					zap.Bool("relayed", relayed), zap.Int64("epoch", next.Epoch), zap.Int64("position", next.Offset),
+					zap.Int64("read-epoch", read.Epoch), zap.Int64("read-end", read.End), telemetry.Cause(err))
 			}
 			pause := retryInterval
 			if !failing && len(sources) > 1 {
@@ -294,6 +322,7 @@
 		}
 		if failing || selector.isSwitch(index) {
 			m.log.Info("registry regained", zap.Int("topic", int(topic)), zap.Int("way", index), zap.Bool("relayed", relayed),
+				zap.Int64("epoch", next.Epoch), zap.Int64("position", next.Offset), zap.Int64("read-epoch", read.Epoch), zap.Int64("read-end", read.End),
 				zap.Duration("age", m.settings.Clock()-time.Duration(confirmed.Load())))
 			failing = false
 		}
@@ -301,8 +330,12 @@
 		if !registryFailed {
 			read.relayDelay = relayDelay
 		}
+		if complete {
+			m.keepNewer(topic, &read)
+		}
 		apply(read)
-		next = read.End
+		m.raiseEpoch(read.Epoch)
+		next = fuchsiarouter.Position{Epoch: read.Epoch, Offset: read.End}
 		// The records are stored before the confirmation: readers take the age of the copy
 		// before its records, so the records are never older than that age says.
 		m.copies.store(topic, read)
@@ -329,9 +362,11 @@
 }
 
 // readTopic reads the newest record of every key when complete is set, and otherwise the
-// records from an offset on. If the topic ends before this offset, the error is errStale for
-// a relayed read and an ExpiredError for a read of the registry.
-func (m *Mirror) readTopic(source fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from int64, wait time.Duration, complete bool) (topicBatch, error) {
+// records from a position on. If the topic ends before this position, the error is errStale
+// for a relayed read and an ExpiredError for a read of the registry. If the topic is of
+// another epoch, the error is errEarlierEpoch for a relayed read of an earlier one, and
+// errRestored for other reads that are not complete.
+func (m *Mirror) readTopic(source fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration, complete bool) (topicBatch, error) {
 	sent := m.settings.Clock()
 	var read fuchsiarouter.KeyedBatch
 	var err error
@@ -346,12 +381,18 @@
 			partial = end < read.End
 			read.End = end
 		}
-		switch {
-		case err == nil && read.End < from && read.Relayed:
-			err = errStale
-		case err == nil && read.End < from:
-			err = &fuchsiarouter.ExpiredError{OldestOffset: read.End}
-		}
+	}
+	switch {
+	case err != nil:
+	case read.Relayed && read.Epoch < from.Epoch:
+		err = errEarlierEpoch
+	case complete:
+	case read.Epoch != from.Epoch:
+		err = errRestored
+	case read.End < from.Offset && read.Relayed:
+		err = errStale
+	case read.End < from.Offset:
+		err = &fuchsiarouter.ExpiredError{OldestOffset: read.End}
 	}
 	return topicBatch{KeyedBatch: read, complete: complete, partial: partial, sentAt: sent, receivedAt: m.settings.Clock()}, err
 }
@@ -411,7 +452,7 @@
 		}
 		if change.Configuration != nil {
 			m.log.Info("configuration read", zap.Int64("version", change.Configuration.Version),
-				zap.Int64("offset", record.Offset), zap.Int64("in-force", m.View().Configuration.Version))
+				zap.Int64("epoch", read.Epoch), zap.Int64("offset", record.Offset), zap.Int64("in-force", m.View().Configuration.Version))
 		}
 		if change.Model != "" {
 			if declared := m.View().DeclaredVersions[change.Model]; declared.Version == change.Version {
@@ -446,120 +487,3 @@
 	}
 	m.log.Info("weight version declared", fields...)
 }
-
-// serverRegistrations maintains the set of registered servers.
-type serverRegistrations struct {
-	mirror *Mirror
-	// servers holds the registered servers by ID, including those in graceUntil.
-	servers map[string]*catalog.Server
-	// graceUntil holds, by ID, the servers whose registration was removed before
-	// outageUntil, with the boot time until which they may register again.
-	graceUntil map[string]time.Duration
-	// outageUntil is the boot time until which removals are attributed to an outage, 0
-	// when there was none. It is reregisterGrace after the first read that followed the
-	// outage.
-	outageUntil time.Duration
-}
-
-// applyRecords applies a read of the servers' topic. A server whose registration was
-// removed during an outage or shortly after it, before outageUntil, stays in the set until
-// then, unless it was draining and the read has a record of the removal. A server whose
-// new record cannot be decoded is removed.
-func (r *serverRegistrations) applyRecords(read topicBatch) {
-	now := r.mirror.settings.Clock()
-	if r.mirror.ServersAge()-read.relayDelay > outageThreshold && len(r.servers) > 0 {
-		r.outageUntil = now + reregisterGrace
-	}
-	next := make(map[string]*catalog.Server, len(r.servers))
-	seen := map[string]bool{}
-	if !read.complete {
-		for id, server := range r.servers {
-			next[id] = server
-		}
-	}
-	for _, record := range read.Records {
-		if record.Key == "" {
-			continue
-		}
-		seen[record.Key] = true
-		if len(record.Value) == 0 {
-			r.remove(next, record.Key, now)
-			continue
-		}
-		server, err := r.mirror.registry.DecodeServer(record)
-		if err != nil {
-			r.mirror.log.Warn("server entry ignored", zap.String("server", record.Key), telemetry.Cause(err))
-			delete(next, record.Key)
-			continue
-		}
-		delete(r.graceUntil, record.Key)
-		next[record.Key] = server
-	}
-	if read.complete {
-		for id, server := range r.servers {
-			if !seen[id] && now < r.outageUntil {
-				next[id] = server
-				r.graceUntil[id] = r.outageUntil
-			}
-		}
-	}
-	for id, until := range r.graceUntil {
-		if now >= until {
-			delete(r.graceUntil, id)
-			delete(next, id)
-		}
-	}
-	r.logChanges(next)
-	r.servers = next
-	r.mirror.updateView(func(view *catalog.View) *catalog.View {
-		if len(read.Records) == 0 && len(view.Servers) == len(next) {
-			return view
-		}
-		return view.WithServers(next)
-	})
-}
-
-// remove removes a server from the set next, or keeps the server until outageUntil when
-// its registration may have expired because the registry was unreachable. A draining
-// server is removed at once.
-func (r *serverRegistrations) remove(next map[string]*catalog.Server, id string, now time.Duration) {
-	if next[id] == nil || now >= r.outageUntil || next[id].Draining {
-		delete(next, id)
-		return
-	}
-	r.graceUntil[id] = r.outageUntil
-}
-
-// maxChangesLogged is the number of changed servers of one read up to which each has a log
-// line. Of more, only the number is logged: every daemon reads the changes of all servers.
-const maxChangesLogged = 8
-
-// logChanges logs the servers that were added, replaced by another incarnation or removed,
-// and those that began or stopped draining.
-func (r *serverRegistrations) logChanges(next map[string]*catalog.Server) {
-	var changed []*catalog.Server
-	for id, server := range next {
-		before := r.servers[id]
-		if before == nil || !before.IsSameIncarnation(server) || before.Draining != server.Draining {
-			changed = append(changed, server)
-		}
-	}
-	var gone []string
-	for id := range r.servers {
-		if next[id] == nil {
-			gone = append(gone, id)
-		}
-	}
-	if len(changed)+len(gone) > maxChangesLogged {
-		r.mirror.log.Info("many servers changed", zap.Int("registered", len(changed)), zap.Int("gone", len(gone)),
-			zap.Int("servers", len(next)))
-		return
-	}
-	for _, server := range changed {
-		r.mirror.log.Info("server registered", zap.String("server", server.ID), zap.String("address", server.Address),
-			zap.Bool("draining", server.Draining), zap.Any("versions", server.Versions))
-	}
-	for _, id := range gone {
-		r.mirror.log.Info("server gone", zap.String("server", id))
-	}
-}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -22,8 +22,9 @@
 type memoryRegistry struct {
 	mu      sync.Mutex
 	records map[fuchsiarouter.Topic][]fuchsiarouter.KeyedRecord
-	// firstOffset is the offset of the oldest record in every topic.
-	firstOffset int64
+	// epoch increases with each restoration. firstOffset is the offset of the oldest record in
+	// every topic.
+	epoch, firstOffset int64
 	// down makes reads fail.
 	down bool
 	// reads counts how often a read looked for records. A read that waits looks once a
@@ -44,10 +45,10 @@
 var errDown = errors.New("down")
 
 func newRegistry() *memoryRegistry {
-	return &memoryRegistry{records: map[fuchsiarouter.Topic][]fuchsiarouter.KeyedRecord{}}
+	return &memoryRegistry{epoch: 1, records: map[fuchsiarouter.Topic][]fuchsiarouter.KeyedRecord{}}
 }
 
-func (s *memoryRegistry) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (s *memoryRegistry) Read(topic fuchsiarouter.Topic, position fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		s.reads++
@@ -55,12 +56,19 @@
 			s.mu.Unlock()
 			return fuchsiarouter.KeyedBatch{}, errDown
 		}
+		from := position.Offset
+		if position.Epoch != s.epoch {
+			batch := fuchsiarouter.KeyedBatch{Epoch: s.epoch, Relayed: s.age != 0, Age: s.age}
+			s.mu.Unlock()
+			return batch, nil
+		}
 		if from < s.firstOffset {
+			err := &fuchsiarouter.ExpiredError{OldestOffset: s.firstOffset}
 			s.mu.Unlock()
-			return fuchsiarouter.KeyedBatch{}, &fuchsiarouter.ExpiredError{OldestOffset: s.firstOffset}
+			return fuchsiarouter.KeyedBatch{}, err
 		}
 		all := s.records[topic]
-		batch := fuchsiarouter.KeyedBatch{End: int64(len(all)), Relayed: s.age != 0, Age: s.age}
+		batch := fuchsiarouter.KeyedBatch{Epoch: s.epoch, End: int64(len(all)), Relayed: s.age != 0, Age: s.age}
 		if from < int64(len(all)) {
 			end := int64(len(all))
 			if s.maxRecords > 0 {
@@ -68,9 +76,10 @@
 			}
 			batch.Records = append(batch.Records, all[from:end]...)
 		}
+		isLimited := s.maxRecords > 0
 		s.mu.Unlock()
 		if len(batch.Records) > 0 || !time.Now().Before(end) {
-			if s.maxRecords > 0 {
+			if isLimited {
 				time.Sleep(time.Millisecond)
 			}
 			return batch, nil
@@ -88,7 +97,7 @@
 	for _, record := range s.records[topic] {
 		newest[record.Key] = record
 	}
-	batch := fuchsiarouter.KeyedBatch{End: int64(len(s.records[topic])), Relayed: s.age != 0, Age: s.age}
+	batch := fuchsiarouter.KeyedBatch{Epoch: s.epoch, End: int64(len(s.records[topic])), Relayed: s.age != 0, Age: s.age}
 	for _, record := range newest {
 		if len(record.Value) > 0 {
 			batch.Records = append(batch.Records, record)
@@ -97,12 +106,12 @@
 	return batch, nil
 }
 
-func (s *memoryRegistry) Put(topic fuchsiarouter.Topic, key string, value []byte) error {
+func (s *memoryRegistry) Put(topic fuchsiarouter.Topic, key string, value []byte) (int64, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.records[topic] = append(s.records[topic],
 		fuchsiarouter.KeyedRecord{Offset: int64(len(s.records[topic])), Key: key, Value: value})
-	return nil
+	return s.epoch, nil
 }
 
 func (s *memoryRegistry) DecodeOperatorChange(record fuchsiarouter.KeyedRecord) (fuchsiarouter.OperatorChange, error) {
@@ -143,7 +152,8 @@
 }
 
 func put(t *testing.T, s *memoryRegistry, topic fuchsiarouter.Topic, key, value string) {
-	gomega.NewWithT(t).Expect(s.Put(topic, key, []byte(value))).To(gomega.Succeed())
+	_, err := s.Put(topic, key, []byte(value))
+	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 }
 
 // TestReturnsToPreferredSource checks that a daemon reads the registry again after an
@@ -270,7 +280,7 @@
 		put(t, registry, fuchsiarouter.TopicServers, "b", `{"Service":"s"}`)
 		registry.change(func() { registry.firstOffset = 2 })
 		time.Sleep(time.Second)
-		after, known := m.Read(fuchsiarouter.TopicServers, batch.End, 0)
+		after, known := m.Read(fuchsiarouter.TopicServers, fuchsiarouter.Position{Epoch: batch.Epoch, Offset: batch.End}, 0)
 		g.Expect(known).To(gomega.BeTrue())
 		removed := map[string]bool{}
 		for _, record := range after.Records {
@@ -292,7 +302,7 @@
 		m := startMirror(registry)
 		defer m.Close()
 		time.Sleep(time.Second)
-		batch, known := m.Read(fuchsiarouter.TopicOperator, 1, 2*time.Second)
+		batch, known := m.Read(fuchsiarouter.TopicOperator, fuchsiarouter.Position{Epoch: 1, Offset: 1}, 2*time.Second)
 		g.Expect(known).To(gomega.BeTrue())
 		g.Expect(batch.Age).To(gomega.BeNumerically("<", 0))
 		at := time.Now().Add(-2 * time.Second).Add(-batch.Age)
@@ -336,7 +346,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		s := newRegistry()
-		g.Expect(s.Put(fuchsiarouter.TopicOperator, "config", []byte("1"))).To(gomega.Succeed())
+		put(t, s, fuchsiarouter.TopicOperator, "config", "1")
 		m := startMirror(s)
 		defer m.Close()
 		time.Sleep(100 * time.Millisecond)
@@ -389,7 +399,7 @@
 // mirrorSource relays the copy of a mirror.
 type mirrorSource struct{ reader *mirror.Mirror }
 
-func (c mirrorSource) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+func (c mirrorSource) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
 	batch, _ := c.reader.Read(topic, from, wait)
 	return batch, nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,6 +51,7 @@
 
 // batchWire is the gob encoding of a batch, without its age.
 type batchWire struct {
+	Epoch   int64
 	End     int64
 	Records []recordWire
 }
@@ -92,8 +93,8 @@
 }
 
 // Read implements fuchsiarouter.TopicReader.
-func (c *Client) Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
-	return c.get("?topic="+strconv.Itoa(int(topic))+"&from="+strconv.FormatInt(from, 10)+
+func (c *Client) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	return c.get("?topic="+strconv.Itoa(int(topic))+"&epoch="+strconv.FormatInt(from.Epoch, 10)+"&from="+strconv.FormatInt(from.Offset, 10)+
 		"&wait-ms="+strconv.FormatInt(wait.Milliseconds(), 10), wait)
 }
 
@@ -131,7 +132,7 @@
 	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&wire); err != nil {
 		return fuchsiarouter.KeyedBatch{}, errors.Wrap(err, "relay: decode batch")
 	}
-	batch := fuchsiarouter.KeyedBatch{End: wire.End, Relayed: true, Age: time.Duration(age)}
+	batch := fuchsiarouter.KeyedBatch{Epoch: wire.Epoch, End: wire.End, Relayed: true, Age: time.Duration(age)}
 	for _, record := range wire.Records {
 		batch.Records = append(batch.Records, fuchsiarouter.KeyedRecord{
 			Offset: record.Offset, Key: record.Key, Value: record.Value, Age: time.Duration(arrived) - record.Written,
@@ -144,12 +145,14 @@
 // those of fuchsiarouter.TopicReader, but return false, in place of an error, when the
 // entry has not read the topic yet.
 type TopicCopy interface {
-	Read(topic fuchsiarouter.Topic, from int64, wait time.Duration) (fuchsiarouter.KeyedBatch, bool)
+	Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, bool)
 	ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, bool)
 }
 
 // Handler returns an HTTP handler that serves the reads of clients from a copy. It
-// responds with status 503 when the entry has not read the topic yet.
+// responds with status 503 when the entry has not read the topic yet, and with status 400 to
+// a read from an offset without an epoch, as daemons of earlier versions send it: they would
+// take the response to a position of another epoch for the end of the topic.
 func Handler(topics TopicCopy) fasthttp.RequestHandler {
 	var cache responseCache
 	return func(ctx *fasthttp.RequestCtx) {
@@ -163,12 +166,16 @@
 			ctx.SetStatusCode(fasthttp.StatusNotFound)
 			return
 		}
-		if query.Has("newest") {
+		switch {
+		case query.Has("newest"):
 			batch, found = topics.ReadNewest(topic)
-		} else {
+		case !query.Has("epoch"):
+			ctx.SetStatusCode(fasthttp.StatusBadRequest)
+			return
+		default:
 			from = int64(query.GetUintOrZero("from"))
 			wait := min(time.Duration(query.GetUintOrZero("wait-ms"))*time.Millisecond, maxWait)
-			batch, found = topics.Read(topic, from, wait)
+			batch, found = topics.Read(topic, fuchsiarouter.Position{Epoch: int64(query.GetUintOrZero("epoch")), Offset: from}, wait)
 		}
 		if !found {
 			ctx.SetStatusCode(fasthttp.StatusServiceUnavailable)
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -17,10 +17,11 @@
 type fakeCopy struct {
 	mu      sync.Mutex
 	written time.Time
+	epoch   int64
 	value   []byte
 }
 
-func (f *fakeCopy) Read(_ fuchsiarouter.Topic, _ int64, _ time.Duration) (fuchsiarouter.KeyedBatch, bool) {
+func (f *fakeCopy) Read(_ fuchsiarouter.Topic, _ fuchsiarouter.Position, _ time.Duration) (fuchsiarouter.KeyedBatch, bool) {
 	return f.ReadNewest(0)
 }
 
@@ -28,7 +29,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	age := time.Since(f.written)
-	return fuchsiarouter.KeyedBatch{End: 8, Relayed: true, Age: age, Records: []fuchsiarouter.KeyedRecord{
+	return fuchsiarouter.KeyedBatch{Epoch: f.epoch, End: 8, Relayed: true, Age: age, Records: []fuchsiarouter.KeyedRecord{
 		{Offset: 7, Key: "k", Value: f.value, Age: age},
 	}}, true
 }
@@ -50,7 +51,7 @@
 	g := gomega.NewWithT(t)
 	client := newClient(t, &fakeCopy{written: time.Now().Add(-time.Second), value: []byte("v")})
 	for range 3 {
-		batch, err := client.Read(fuchsiarouter.TopicOperator, 7, 0)
+		batch, err := client.Read(fuchsiarouter.TopicOperator, fuchsiarouter.Position{Offset: 7}, 0)
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		g.Expect(batch.End).To(gomega.Equal(int64(8)))
 		g.Expect(batch.Relayed).To(gomega.BeTrue())
@@ -74,3 +75,31 @@
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(batch.Records[0].Value).To(gomega.Equal(value))
 }
+
+// TestCachedResponseOfEarlierEpoch guards against a cached batch that has the same offsets as a later one, but was read before the registry was restored (CONFIG).
+func TestCachedResponseOfEarlierEpoch(t *testing.T) {
+	g := gomega.NewWithT(t)
+	topics := &fakeCopy{written: time.Now(), epoch: 1, value: []byte("lost")}
+	client := newClient(t, topics)
+	_, err := client.ReadNewest(fuchsiarouter.TopicOperator)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	topics.mu.Lock()
+	topics.epoch, topics.value = 2, []byte("new")
+	topics.mu.Unlock()
+	batch, err := client.ReadNewest(fuchsiarouter.TopicOperator)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(batch.Epoch).To(gomega.Equal(int64(2)))
+	g.Expect(string(batch.Records[0].Value)).To(gomega.Equal("new"))
+}
+
+// TestReadWithoutEpochIsRefused guards against a daemon of an earlier version that takes a batch without records, of another epoch, for the end of the topic (CONFIG).
+func TestReadWithoutEpochIsRefused(t *testing.T) {
+	g := gomega.NewWithT(t)
+	handler := relay.Handler(&fakeCopy{written: time.Now(), epoch: 1, value: []byte("v")})
+	for query, status := range map[string]int{"from=7": 400, "from=7&epoch=1": 200, "newest=1": 200} {
+		var ctx fasthttp.RequestCtx
+		ctx.Request.SetRequestURI("/records?topic=0&" + query)
+		handler(&ctx)
+		g.Expect(ctx.Response.StatusCode()).To(gomega.Equal(status), query)
+	}
+}
