mirror: a version that a backup lacks keeps its deadline

A version that is acknowledged right before the registry is lost is missing in the backup and written again after the restoration. A daemon that had not read it before took the restored topic for a proof that it was not declared yet, and dated it by the second record (VERSION).

For the 2.5 s after a restoration within which lost records are written again, their absence no longer says that they were not written.

--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -255,6 +255,9 @@
 	next, complete, failing := fuchsiarouter.Position{}, true, false
 	selector := sourceSelector{}
 	unchangedUntil, relayDelay, registryFailed := catalog.UnknownTime, time.Duration(0), false
+	// rewrittenUntil is the boot time until which records that a restoration has lost may be
+	// written again, so that their absence says nothing.
+	rewrittenUntil := catalog.UnknownTime
 	startedAt := m.settings.Clock()
 	for {
 		sources := m.sources()
@@ -333,6 +336,9 @@
 		if complete {
 			m.keepNewer(topic, &read)
 		}
+		if read.Epoch != next.Epoch && confirmed.Load() >= 0 {
+			rewrittenUntil = read.receivedAt + reregisterGrace
+		}
 		apply(read)
 		m.raiseEpoch(read.Epoch)
 		next = fuchsiarouter.Position{Epoch: read.Epoch, Offset: read.End}
@@ -343,7 +349,9 @@
 			confirmed.Store(at)
 		}
 		if !read.partial {
-			unchangedUntil = max(unchangedUntil, read.noLaterRecordAt(readWait))
+			if until := read.noLaterRecordAt(readWait); until >= rewrittenUntil {
+				unchangedUntil = max(unchangedUntil, until)
+			}
 			relayDelay, registryFailed = 0, false
 		}
 		pause := interval
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -204,3 +204,32 @@
 		}
 	})
 }
+
+// TestVersionLostWithBackupKeepsDeadline guards against a version that is dated by the time at which it is written again (VERSION).
+func TestVersionLostWithBackupKeepsDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		putAll(t, registry, "m", "2")
+		clock := clockSince(time.Now(), 0)
+		m := startWithSettings(registry, mirror.Settings{Clock: clock}, registry)
+		defer m.Close()
+		time.Sleep(2 * time.Second)
+		registry.change(func() { registry.down = true })
+		declared := clock()
+		putAll(t, registry, "m", "3")
+		time.Sleep(time.Second)
+		registry.restore(fuchsiarouter.TopicOperator, 1)
+		registry.change(func() { registry.down = false })
+		time.Sleep(time.Second)
+		putAll(t, registry, "m", "3")
+		time.Sleep(time.Second)
+		g.Expect(m.View().DeclaredVersions["m"].Version).To(gomega.Equal(3))
+		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically("<=", declared))
+		time.Sleep(5 * time.Second)
+		declared = clock()
+		putAll(t, registry, "m", "4")
+		time.Sleep(time.Second)
+		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically(">=", declared-operatorWait))
+	})
+}
