--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -233,3 +233,25 @@
 		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically(">=", declared-operatorWait))
 	})
 }
+
+// TestRegistrationsWrittenAgainInOrder guards against a draining server that counts as ready while its registrations are written again (DRAIN).
+func TestRegistrationsWrittenAgainInOrder(t *testing.T) {
+	const ready, draining = `{"Service":"s","Address":"127.0.0.1:1","Started":7,"Sequence":1}`, `{"Service":"s","Address":"127.0.0.1:1","Started":7,"Sequence":2,"Draining":true}`
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicServers, "other", ready)
+		put(t, registry, fuchsiarouter.TopicServers, "a", ready)
+		put(t, registry, fuchsiarouter.TopicServers, "a", draining)
+		m := startMirror(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		registry.restore(fuchsiarouter.TopicServers, 1)
+		time.Sleep(time.Second)
+		for _, value := range []string{ready, draining} {
+			put(t, registry, fuchsiarouter.TopicServers, "a", value)
+			time.Sleep(time.Second)
+			g.Expect(m.View().Servers["a"].Draining).To(gomega.BeTrue())
+		}
+	})
+}
