ingress: a registration counts for the epoch in which it was written

It counted for the epoch that the mirror knew if that was later, although the registry may have written it before the restoration.

--- a/ingress/status.go
+++ b/ingress/status.go
@@ -335,11 +335,11 @@
 	registeredIn := int64(-1)
 	isRegistered := func() bool { return registeredIn >= i.mirror.Epoch() }
 	for first := true; ; first = false {
-		if known := i.mirror.Epoch(); registeredIn < known {
+		if !isRegistered() {
 			if epoch, err := i.registry.Put(fuchsiarouter.TopicEntries, i.settings.PeerAddress, body); err != nil {
 				i.log.Warn("registration not written", telemetry.Cause(err))
 			} else {
-				registeredIn = max(epoch, known)
+				registeredIn = epoch
 			}
 		}
 		pause := rosterPollInterval
