mirror: look for a source that answers without waiting for records

In the incident of the frozen entries, the loaders of the zone learnt of the version 3.3 s late. A read through a frozen entry takes the whole wait of a long poll plus its timeout, 2.6 s, and the operator's loop spent that on each frozen entry in turn. The loop of the servers' topic, whose reads don't wait, had gone on to a source that answers 0.9 s after the freeze.

After a failure, reads don't wait for records until one succeeds. TestFrozenRelaysDelayChangesOnce failed before: 5.3 s where two timeouts and one wait, 3.2 s, are right.

--- a/mirror/freeze_test.go
+++ b/mirror/freeze_test.go
@@ -237,3 +237,35 @@
 		g.Expect(age).To(gomega.BeNumerically("<", time.Second))
 	})
 }
+
+// TestFrozenRelaysDelayChangesOnce guards against waiting for changes at each frozen relay in turn, so that a loader learns of a version seconds late.
+func TestFrozenRelaysDelayChangesOnce(t *testing.T) {
+	const wait, timeout = 2 * time.Second, 600 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "2")
+		relay := startMirror(registry)
+		defer relay.Close()
+		time.Sleep(time.Second)
+		var isFrozen atomic.Bool
+		frozen := &changedReader{TopicReader: mirrorSource{relay}, read: func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+			if isFrozen.Load() {
+				time.Sleep(wait + timeout)
+				return fuchsiarouter.KeyedBatch{}, errDown
+			}
+			return next.Read(topic, from, wait)
+		}}
+		m := startWithSettings(registry, mirror.Settings{OperatorWait: wait, Clock: clockSince(time.Now(), 0)}, frozen, frozen, registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		isFrozen.Store(true)
+		time.Sleep(2 * time.Second)
+		declared := time.Now()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "3")
+		for m.View().DeclaredVersions["m"].Version < 3 {
+			time.Sleep(time.Millisecond)
+		}
+		g.Expect(time.Since(declared)).To(gomega.BeNumerically("<=", wait+2*timeout))
+	})
+}
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -265,7 +265,8 @@
 		readWait := wait
 		relayed := sources[index] != fuchsiarouter.TopicReader(m.registry)
 		switch {
-		case probing:
+		case probing, failing:
+			// A source that answers is found sooner by a read that doesn't wait for records.
 			readWait = 0
 		case relayed && m.settings.RelayWait > 0:
 			readWait = m.settings.RelayWait
