mirror, relay: a copy that was read anew tells its readers so

A daemon that reads a topic from the start knows the newest records, and not which keys were removed before. It told its readers the removals of the keys that it had known itself. A reader whose position is before that read, and which knew another key from the registry or another relay, never learnt of its removal (DRAIN). After a restoration, when all daemons start anew at different times, this is likely; an expired record is enough.

A relay now answers a read from such a position with its whole copy, marked as complete, and the reader drops what isn't in it. Daemons of an earlier version ignore the mark.

TestRelayThatReadAnewTellsRemovals failed before.

--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -26,6 +26,10 @@
 	removed map[string]removedRecord
 	// epoch is the epoch of the records, and end the offset after the newest one.
 	epoch, end int64
+	// startEnd is the end of the read that began this copy. The copy lacks the removals before
+	// it, other than those of the keys of the copy that it replaced, which ended at replacedEnd.
+	// replacedEnd is -1 if there was none of the same epoch.
+	startEnd, replacedEnd int64
 	// changed is closed when a record is added or the copy is replaced. After an added
 	// record, a new channel takes its place for the next change; a copy that replaces this
 	// one has its own.
@@ -45,9 +49,12 @@
 	if older == nil || read.complete {
 		fresh := &topicCopy{
 			records: map[string]fuchsiarouter.KeyedRecord{}, writtenAt: map[string]time.Duration{},
-			removed: map[string]removedRecord{}, changed: make(chan struct{}),
+			removed: map[string]removedRecord{}, startEnd: read.End, replacedEnd: -1, changed: make(chan struct{}),
 		}
 		if older != nil {
+			if older.epoch == read.Epoch {
+				fresh.replacedEnd = older.end
+			}
 			fresh.addRemovals(older, read)
 			close(older.changed)
 		}
@@ -93,8 +100,9 @@
 // readFrom returns the newest record of each key for a read that arrived at the given boot
 // time, and a channel that is closed when the copy changes. Unless newest is set, these are
 // the records from the position on, including those without a value, which stand for removed
-// keys, and none if the copy is of another epoch than the position. readFrom returns false
-// when the topic was not read yet.
+// keys, and none if the copy is of another epoch than the position. If the copy lacks
+// removals after the position, the batch has all records and is complete. readFrom returns
+// false when the topic was not read yet.
 func (c *topicCopies) readFrom(topic fuchsiarouter.Topic, from fuchsiarouter.Position, newest bool, arrived time.Duration) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,6 +114,9 @@
 	if !newest && from.Epoch != kept.epoch {
 		return batch, kept.changed, true
 	}
+	if !newest && from.Offset < kept.startEnd && from.Offset != kept.replacedEnd {
+		newest, batch.Complete = true, true
+	}
 	for _, record := range kept.records {
 		if newest && len(record.Value) > 0 || !newest && record.Offset >= from.Offset {
 			record.Age = arrived - kept.writtenAt[record.Key]
@@ -136,7 +147,7 @@
 	// than the age of the batch says, but never older.
 	arrived, confirmed := m.settings.Clock(), m.confirmedAt(topic)
 	batch, changed, ok := m.copies.readFrom(topic, from, newest, arrived)
-	if ok && len(batch.Records) == 0 && batch.Epoch == from.Epoch && wait > 0 {
+	if ok && len(batch.Records) == 0 && !batch.Complete && batch.Epoch == from.Epoch && wait > 0 {
 		timer := time.NewTimer(wait)
 		defer timer.Stop()
 		select {
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -334,7 +334,7 @@
 		if !registryFailed {
 			read.relayDelay = relayDelay
 		}
-		if complete {
+		if read.complete {
 			m.keepNewer(topic, &read)
 		}
 		if read.Epoch != next.Epoch && confirmed.Load() >= 0 {
@@ -359,7 +359,7 @@
 		if relayed && m.settings.RelayWait > 0 {
 			pause = relayPause
 		}
-		if complete || read.partial {
+		if read.complete || read.partial {
 			// The newest records are not read as one atomic snapshot, and a partial read
 			// leaves records out: the next read follows at once to complete the copy.
 			pause, complete = 0, false
@@ -403,7 +403,7 @@
 	case read.End < from.Offset:
 		err = &fuchsiarouter.ExpiredError{OldestOffset: read.End}
 	}
-	return topicBatch{KeyedBatch: read, complete: complete, partial: partial, sentAt: sent, receivedAt: m.settings.Clock()}, err
+	return topicBatch{KeyedBatch: read, complete: complete || read.Complete, partial: partial, sentAt: sent, receivedAt: m.settings.Clock()}, err
 }
 
 // sleep waits for the duration. It returns false at once when the mirror is closed.
--- a/mirror/restore_test.go
+++ b/mirror/restore_test.go
@@ -1,6 +1,7 @@
 package mirror_test
 
 import (
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -255,3 +256,40 @@
 		}
 	})
 }
+
+// TestRelayThatReadAnewTellsRemovals guards against a server that is used after it has left, since the relay never knew it (DRAIN).
+func TestRelayThatReadAnewTellsRemovals(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicServers, "a", `{"Service":"s"}`)
+		var isRelayCut, isRegistryCut atomic.Bool
+		cut := func(isCut *atomic.Bool, source fuchsiarouter.TopicReader) fuchsiarouter.TopicReader {
+			return &changedReader{TopicReader: source, read: func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+				if isCut.Load() {
+					return fuchsiarouter.KeyedBatch{}, errDown
+				}
+				return next.Read(topic, from, wait)
+			}}
+		}
+		settings := mirror.Settings{RelayWait: 100 * time.Millisecond, Clock: clockSince(time.Now(), 0)}
+		relay := startWithSettings(registry, settings, cut(&isRelayCut, registry))
+		defer relay.Close()
+		time.Sleep(time.Second)
+		m := startWithSettings(registry, settings, cut(&isRelayCut, mirrorSource{relay}), cut(&isRegistryCut, registry))
+		defer m.Close()
+		time.Sleep(time.Second)
+		isRelayCut.Store(true)
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "b", `{"Service":"s"}`)
+		time.Sleep(time.Second)
+		g.Expect(m.View().Servers).To(gomega.HaveLen(2))
+		isRegistryCut.Store(true)
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "b", "")
+		registry.change(func() { registry.firstOffset = 3 })
+		isRelayCut.Store(false)
+		time.Sleep(5 * time.Second)
+		g.Expect(m.View().Servers).To(gomega.HaveLen(1))
+	})
+}
--- a/registry.go
+++ b/registry.go
@@ -55,8 +55,11 @@
 	// Age is set if Relayed is. It is the time from the last moment at which the daemon's
 	// copy of the topic was known to be complete to the arrival of the read at that daemon.
 	// It is negative if that moment is later, because the read waited for new records.
-	Age     time.Duration
-	Records []KeyedRecord
+	Age time.Duration
+	// Complete is set if a read from a position returns the newest record of every key instead
+	// of the records from there on. Keys that are not in the batch don't exist.
+	Complete bool
+	Records  []KeyedRecord
 }
 
 // OperatorChange is the decoded content of one record of TopicOperator: either a
--- a/relay/cache.go
+++ b/relay/cache.go
@@ -21,10 +21,11 @@
 
 // encodedBatch is the response body of a batch. It is immutable.
 type encodedBatch struct {
-	// from is the offset of the read, or negative as in encode. epoch, end and records are
-	// the epoch, the end and the number of records of the batch. Two batches of a topic that
-	// agree in these four have the same records.
+	// from is the offset of the read, or negative as in encode. epoch, end, complete and records
+	// are those of the batch, records their number. Two batches of a topic that agree in these
+	// five have the same records.
 	from, epoch, end int64
+	complete         bool
 	records          int
 	data             []byte
 	// compressed is set when data is compressed with gzip.
@@ -38,10 +39,10 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	cached := r.batches[topic]
-	if cached != nil && cached.from == from && cached.epoch == batch.Epoch && cached.end == batch.End && cached.records == len(batch.Records) {
+	if cached != nil && cached.from == from && cached.epoch == batch.Epoch && cached.end == batch.End && cached.complete == batch.Complete && cached.records == len(batch.Records) {
 		return cached, nil
 	}
-	wire := batchWire{Epoch: batch.Epoch, End: batch.End, Records: make([]recordWire, 0, len(batch.Records))}
+	wire := batchWire{Epoch: batch.Epoch, End: batch.End, Complete: batch.Complete, Records: make([]recordWire, 0, len(batch.Records))}
 	for _, record := range batch.Records {
 		wire.Records = append(wire.Records, recordWire{
 			Offset: record.Offset, Key: record.Key, Value: record.Value, Written: arrived - record.Age,
@@ -51,7 +52,7 @@
 	if err := gob.NewEncoder(&encoded).Encode(wire); err != nil {
 		return nil, errors.Wrap(err, "relay: encode batch")
 	}
-	response := &encodedBatch{from: from, epoch: batch.Epoch, end: batch.End, records: len(batch.Records), data: encoded.Bytes()}
+	response := &encodedBatch{from: from, epoch: batch.Epoch, end: batch.End, complete: batch.Complete, records: len(batch.Records), data: encoded.Bytes()}
 	if len(response.data) >= compressThreshold {
 		response.data = fasthttp.AppendGzipBytesLevel(nil, response.data, fasthttp.CompressBestSpeed)
 		response.compressed = true
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -51,9 +51,11 @@
 
 // batchWire is the gob encoding of a batch, without its age.
 type batchWire struct {
-	Epoch   int64
-	End     int64
-	Records []recordWire
+	Epoch int64
+	End   int64
+	// Complete is as in a KeyedBatch. Daemons of earlier versions ignore it.
+	Complete bool
+	Records  []recordWire
 }
 
 // recordWire is the gob encoding of a record. Written is the earliest time at which the
@@ -132,7 +134,7 @@
 	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&wire); err != nil {
 		return fuchsiarouter.KeyedBatch{}, errors.Wrap(err, "relay: decode batch")
 	}
-	batch := fuchsiarouter.KeyedBatch{Epoch: wire.Epoch, End: wire.End, Relayed: true, Age: time.Duration(age)}
+	batch := fuchsiarouter.KeyedBatch{Epoch: wire.Epoch, End: wire.End, Relayed: true, Age: time.Duration(age), Complete: wire.Complete}
 	for _, record := range wire.Records {
 		batch.Records = append(batch.Records, fuchsiarouter.KeyedRecord{
 			Offset: record.Offset, Key: record.Key, Value: record.Value, Age: time.Duration(arrived) - record.Written,
