mirror: tell readers again of keys that were removed before a topic is read anew

A daemon that knows that a server has left keeps the backup's registration of it out of its copy. A reader that has this registration from the registry, and then reads through the daemon after it has read the topic anew, was told of the removals of the keys in the replaced copy only, and used the server for ever (DRAIN).

--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -84,17 +84,27 @@
 }
 
 // addRemovals adds a removal, which is a record without a value, for each key that has a
-// value in the older copy. The records of the read are stored afterwards and replace the
-// removals of the keys that still exist. Readers of the older copy thus learn which keys
-// are gone.
+// value in the older copy or was removed before. The records of the read are stored afterwards
+// and replace the removals of the keys that still exist. Readers of the older copy thus learn
+// which keys are gone.
 func (c *topicCopy) addRemovals(older *topicCopy, read topicBatch) {
 	c.removed = maps.Clone(older.removed)
 	for key, record := range older.records {
 		if len(record.Value) > 0 {
-			c.records[key] = fuchsiarouter.KeyedRecord{Key: key, Offset: max(read.End-1, 0)}
+			c.addRemoval(key, read)
 			c.rememberRemoval(older, key, read.receivedAt, older.epoch != read.Epoch)
 		}
 	}
+	for key, removed := range older.removed {
+		if !removed.missing {
+			c.addRemoval(key, read)
+		}
+	}
+}
+
+// addRemoval adds the removal of a key that the read doesn't have.
+func (c *topicCopy) addRemoval(key string, read topicBatch) {
+	c.records[key] = fuchsiarouter.KeyedRecord{Key: key, Offset: max(read.End-1, 0)}
 }
 
 // readFrom returns the newest record of each key for a read that arrived at the given boot
