mirror: compare every read after a restoration with what is known

Only the first read of a new epoch was compared with the copy. A second read of the whole topic, after records expired, or the records of a server that are written again one after the other, brought states of before back: a server that had left counted as ready (DRAIN), and a process that starts through the daemon got an older configuration than the daemon works with (CONFIG).

TestRecordsExpiredAfterRestoration, TestRegistrationsOfGoneServerWrittenAgain and TestCopyOfRecordsWrittenAgain failed before.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -82,9 +82,9 @@
 	failing bool
 	// unchangedUntil is as in a topicBatch.
 	unchangedUntil time.Duration
-	// rewrittenUntil is the boot time until which records that a restoration has lost may be
-	// written again, so that their absence says nothing.
-	rewrittenUntil time.Duration
+	// restoredAt is the boot time of the first read after the last restoration of the registry,
+	// or catalog.UnknownTime.
+	restoredAt time.Duration
 	// relayDelay is how long failed reads through other daemons have taken since the copy was
 	// confirmed, and registryFailed whether a source has shown since that the registry does not
 	// answer.
@@ -95,7 +95,7 @@
 // follow reads a topic until the mirror is closed.
 func (m *Mirror) follow(f *topicFollower) {
 	f.mirror, f.complete, f.startedAt = m, true, m.settings.Clock()
-	f.unchangedUntil, f.rewrittenUntil = catalog.UnknownTime, catalog.UnknownTime
+	f.unchangedUntil, f.restoredAt = catalog.UnknownTime, catalog.UnknownTime
 	for m.sleep(f.read()) {
 	}
 }
@@ -181,11 +181,11 @@
 	if !f.registryFailed {
 		batch.relayDelay = f.relayDelay
 	}
-	if batch.complete {
-		f.mirror.keepNewer(f.topic, &batch)
-	}
 	if batch.Epoch != f.next.Epoch && confirmed >= 0 {
-		f.rewrittenUntil = batch.receivedAt + reregisterGrace
+		f.restoredAt = batch.receivedAt
+	}
+	if batch.receivedAt < f.restoredAt+restorationGrace {
+		f.mirror.keepNewer(f.topic, &batch)
 	}
 	f.apply(batch)
 	f.mirror.raiseEpoch(batch.Epoch)
@@ -198,7 +198,8 @@
 		return
 	}
 	f.confirmed.Store(int64(max(confirmed, batch.confirmedAt())))
-	if until := batch.noLaterRecordAt(wait); until >= f.rewrittenUntil {
+	if until := batch.noLaterRecordAt(wait); until >= f.restoredAt+reregisterGrace {
+		// Before that, the absence of a record that a restoration has lost says nothing.
 		f.unchangedUntil = max(f.unchangedUntil, until)
 	}
 	f.relayDelay, f.registryFailed = 0, false
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -11,6 +11,11 @@
 // from which the registry is restored is younger.
 const removalRetention = 5 * time.Minute
 
+// restorationGrace is the time after a restoration of the registry until which its records may
+// be older than those that are known: lost ones are written again within about 2 s, and the
+// registration of a server that has left lapses after three heartbeats, 3.6 s.
+const restorationGrace = 6 * time.Second
+
 // removedRecord is the last record of a removed key, and the boot time at which the removal
 // was read.
 type removedRecord struct {
@@ -32,17 +37,16 @@
 	}
 }
 
-// keepNewer changes the records of a read of a whole topic, which is the first one after a
-// restoration of the registry, so that nothing goes back to the state of the backup until the
-// lost records are written again: a record that is older than the one in the copy is replaced
-// by that one, the record of a key that was removed since it was written is left out, and the
-// operator's records that are missing are added. Servers that are missing are left to
-// serverRegistrations.
+// keepNewer changes the records of a read within restorationGrace, so that nothing goes back to
+// the state of the backup, or to one that is written again: a record that is older than the one
+// in the copy is replaced by that one, the record of a key that was removed since it was written
+// is left out, and the operator's records that a complete read lacks are added. Servers that are
+// missing are left to serverRegistrations.
 func (m *Mirror) keepNewer(topic fuchsiarouter.Topic, read *topicBatch) {
 	m.copies.mu.Lock()
 	defer m.copies.mu.Unlock()
 	kept := m.copies.topics[topic]
-	if kept == nil || kept.epoch == read.Epoch {
+	if kept == nil {
 		return
 	}
 	records, found := make([]fuchsiarouter.KeyedRecord, 0, len(read.Records)), map[string]bool{}
@@ -62,7 +66,7 @@
 		}
 		records = append(records, record)
 	}
-	if topic == fuchsiarouter.TopicOperator {
+	if topic == fuchsiarouter.TopicOperator && read.complete {
 		for key, known := range kept.records {
 			if !found[key] && len(known.Value) > 0 {
 				records = append(records, fuchsiarouter.KeyedRecord{Offset: max(read.End-1, 0), Key: key, Value: known.Value})
--- a/mirror/rewrite_test.go
+++ b/mirror/rewrite_test.go
@@ -12,6 +12,9 @@
 	"github.com/fuchsiarouter/fuchsiarouter/mirror"
 )
 
+// registrationStart is the start of the registration of a server.
+const registrationStart = `{"Service":"s","Address":"127.0.0.1:1","Started":7,`
+
 // switchedSource reads from first until it is switched to second.
 type switchedSource struct {
 	cut    atomic.Bool
@@ -72,3 +75,96 @@
 		g.Expect(m.View().Servers).NotTo(gomega.HaveKey("a"))
 	})
 }
+
+// TestRecordsExpiredAfterRestoration guards against states that go back when a restored topic is read from the start a second time (DRAIN, CONFIG).
+func TestRecordsExpiredAfterRestoration(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		for _, id := range []string{"drains", "left"} {
+			put(t, registry, fuchsiarouter.TopicServers, id, registrationStart+`"Sequence":5}`)
+		}
+		putAll(t, registry, "config", "1", "m", "1")
+		m := startMirror(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "drains", registrationStart+`"Sequence":9,"Draining":true}`)
+		put(t, registry, fuchsiarouter.TopicServers, "left", "")
+		putAll(t, registry, "config", "3", "m", "2")
+		time.Sleep(time.Second)
+		registry.change(func() {
+			for _, topic := range []fuchsiarouter.Topic{fuchsiarouter.TopicServers, fuchsiarouter.TopicOperator} {
+				registry.records[topic] = registry.records[topic][:2:2]
+			}
+			registry.epoch++
+		})
+		time.Sleep(600 * time.Millisecond)
+		g.Expect(m.View().Servers).NotTo(gomega.HaveKey("left"))
+		put(t, registry, fuchsiarouter.TopicServers, "x", registrationStart+`"Sequence":1}`)
+		putAll(t, registry, "n", "1")
+		registry.change(func() { registry.firstOffset = 3 })
+		time.Sleep(600 * time.Millisecond)
+		batch, _ := m.ReadNewest(fuchsiarouter.TopicOperator)
+		for _, record := range batch.Records {
+			if record.Key == "config" {
+				g.Expect(string(record.Value)).To(gomega.Equal("3"))
+			}
+		}
+		g.Expect(m.View().Servers["drains"].Draining).To(gomega.BeTrue())
+		g.Expect(m.View().Servers).NotTo(gomega.HaveKey("left"))
+	})
+}
+
+// TestRegistrationsOfGoneServerWrittenAgain guards against a server that has left and counts as ready while its registrations are written again (DRAIN).
+func TestRegistrationsOfGoneServerWrittenAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicServers, "other", registrationStart+`"Sequence":1}`)
+		put(t, registry, fuchsiarouter.TopicServers, "a", registrationStart+`"Sequence":1}`)
+		m := startMirror(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "a", registrationStart+`"Sequence":2,"Draining":true}`)
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "a", "")
+		time.Sleep(time.Second)
+		registry.restore(fuchsiarouter.TopicServers, 1)
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "a", registrationStart+`"Sequence":1}`)
+		time.Sleep(time.Second)
+		g.Expect(m.View().Servers).NotTo(gomega.HaveKey("a"))
+	})
+}
+
+// TestCopyOfRecordsWrittenAgain guards against a process that starts on older records than its relay has, while they are written again (CONFIG, DRAIN).
+func TestCopyOfRecordsWrittenAgain(t *testing.T) {
+	const ready, draining = registrationStart + `"Sequence":1}`, registrationStart + `"Sequence":2,"Draining":true}`
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicServers, "other", ready)
+		put(t, registry, fuchsiarouter.TopicServers, "a", ready)
+		put(t, registry, fuchsiarouter.TopicServers, "a", draining)
+		putAll(t, registry, "config", "1", "config", "2", "config", "3")
+		m := startMirror(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		registry.change(func() {
+			for _, topic := range []fuchsiarouter.Topic{fuchsiarouter.TopicServers, fuchsiarouter.TopicOperator} {
+				registry.records[topic] = registry.records[topic][:1:1]
+			}
+			registry.epoch++
+		})
+		time.Sleep(time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "a", ready)
+		putAll(t, registry, "config", "2")
+		time.Sleep(time.Second)
+		late := startFollower(registry, m)
+		defer late.Close()
+		time.Sleep(time.Second)
+		g.Expect(late.View().Configuration.Version).To(gomega.Equal(int64(3)))
+		g.Expect(m.View().Servers["a"].Draining).To(gomega.BeTrue())
+		g.Expect(late.View().Servers["a"].Draining).To(gomega.BeTrue())
+	})
+}
--- a/mirror/servers.go
+++ b/mirror/servers.go
@@ -59,11 +59,6 @@
 			continue
 		}
 		delete(r.graceUntil, record.Key)
-		if known := r.servers[record.Key]; known != nil && server.Precedes(known) {
-			// The server writes again what a restoration of the registry has lost.
-			next[record.Key] = known
-			continue
-		}
 		next[record.Key] = server
 	}
 	if read.complete {
