mirror: take the records of a restored registry as they are after 6 s

A server whose registration had lapsed before the restoration, and which the backup has, was left out until its registration changed; heartbeats alone write no record, so that could be for ever.

By 6 s after a restoration the registrations of servers that are gone have lapsed, so the topic is read anew and taken as it is, by readers of the registry first. TestLiveServerOfBackupReturns and TestFollowersFindLiveServerOfBackup failed before.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -83,8 +83,10 @@
 	// unchangedUntil is as in a topicBatch.
 	unchangedUntil time.Duration
 	// restoredAt is the boot time of the first read after the last restoration of the registry,
-	// or catalog.UnknownTime.
+	// or catalog.UnknownTime. rereadDue is set until the topic is read anew after
+	// restorationGrace, when its records are taken as they are.
 	restoredAt time.Duration
+	rereadDue  bool
 	// relayDelay is how long failed reads through other daemons have taken since the copy was
 	// confirmed, and registryFailed whether a source has shown since that the registry does not
 	// answer.
@@ -182,7 +184,7 @@
 		batch.relayDelay = f.relayDelay
 	}
 	if batch.Epoch != f.next.Epoch && confirmed >= 0 {
-		f.restoredAt = batch.receivedAt
+		f.restoredAt, f.rereadDue = batch.receivedAt, true
 	}
 	if batch.receivedAt < f.restoredAt+restorationGrace {
 		f.mirror.keepNewer(f.topic, &batch)
@@ -193,7 +195,10 @@
 	// before its records, so the records are never older than that age says.
 	f.mirror.copies.store(f.topic, batch)
 	f.next = fuchsiarouter.Position{Epoch: batch.Epoch, Offset: batch.End}
-	f.complete = false
+	f.complete = f.rereadDue && batch.receivedAt >= f.restoredAt+f.rereadDelay(relayed)
+	if f.complete {
+		f.rereadDue = false
+	}
 	if batch.partial {
 		return
 	}
@@ -205,6 +210,15 @@
 	f.relayDelay, f.registryFailed = 0, false
 }
 
+// rereadDelay returns the time after a restoration at which the topic is read anew. Other daemons
+// do that first, so that their copies have the result.
+func (f *topicFollower) rereadDelay(relayed bool) time.Duration {
+	if relayed {
+		return restorationGrace + reregisterGrace
+	}
+	return restorationGrace
+}
+
 // positionFields returns the fields of a log line about the position of the copy.
 func (f *topicFollower) positionFields(fields ...zap.Field) []zap.Field {
 	return append([]zap.Field{
--- a/mirror/rewrite_test.go
+++ b/mirror/rewrite_test.go
@@ -168,3 +168,44 @@
 		g.Expect(late.View().Servers["a"].Draining).To(gomega.BeTrue())
 	})
 }
+
+// TestLiveServerOfBackupReturns guards against a live server that is left out for ever, since its registration had lapsed before the restoration.
+func TestLiveServerOfBackupReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicServers, "other", registrationStart+`"Sequence":1}`)
+		put(t, registry, fuchsiarouter.TopicServers, "a", registrationStart+`"Sequence":1}`)
+		m := startMirror(registry)
+		defer m.Close()
+		time.Sleep(5 * time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "a", "")
+		time.Sleep(time.Second)
+		g.Expect(m.View().Servers).NotTo(gomega.HaveKey("a"))
+		registry.restore(fuchsiarouter.TopicServers, 2)
+		time.Sleep(10 * time.Second)
+		g.Expect(m.View().Servers).To(gomega.HaveKey("a"))
+	})
+}
+
+// TestFollowersFindLiveServerOfBackup guards against followers that keep a live server out after their relay has found it.
+func TestFollowersFindLiveServerOfBackup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicServers, "other", registrationStart+`"Sequence":1}`)
+		put(t, registry, fuchsiarouter.TopicServers, "a", registrationStart+`"Sequence":1}`)
+		m := startMirror(registry)
+		defer m.Close()
+		time.Sleep(time.Second)
+		follower := startFollower(registry, m)
+		defer follower.Close()
+		time.Sleep(5 * time.Second)
+		put(t, registry, fuchsiarouter.TopicServers, "a", "")
+		time.Sleep(time.Second)
+		g.Expect(follower.View().Servers).NotTo(gomega.HaveKey("a"))
+		registry.restore(fuchsiarouter.TopicServers, 2)
+		time.Sleep(15 * time.Second)
+		g.Expect(follower.View().Servers).To(gomega.HaveKey("a"))
+	})
+}
