mirror: pause between restorations that follow each other

A second one within 6 s now waits for 250 ms. TestAlternatingEpochIsNotReadFast failed before: 1808 calls in 10 s.

--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -87,6 +87,9 @@
 	// restorationGrace, when its records are taken as they are.
 	restoredAt time.Duration
 	rereadDue  bool
+	// restartedAt is the boot time of the last response of another epoch than that of the copy, or
+	// catalog.UnknownTime.
+	restartedAt time.Duration
 	// relayDelay is how long failed reads through other daemons have taken since the copy was
 	// confirmed, and registryFailed whether a source has shown since that the registry does not
 	// answer.
@@ -97,7 +100,7 @@
 // follow reads a topic until the mirror is closed.
 func (m *Mirror) follow(f *topicFollower) {
 	f.mirror, f.complete, f.startedAt = m, true, m.settings.Clock()
-	f.unchangedUntil, f.restoredAt = catalog.UnknownTime, catalog.UnknownTime
+	f.unchangedUntil, f.restoredAt, f.restartedAt = catalog.UnknownTime, catalog.UnknownTime, catalog.UnknownTime
 	for m.sleep(f.read()) {
 	}
 }
@@ -145,7 +148,13 @@
 		f.mirror.log.Info("registry restored, the topic is read anew",
 			f.positionFields(zap.Int64("read-epoch", batch.Epoch), zap.Bool("relayed", relayed))...)
 		f.complete = true
-		return rereadPause
+		pause := rereadPause
+		if batch.receivedAt-f.restartedAt < restorationGrace {
+			// The registry has been restored, or its epoch has changed, twice in a row.
+			pause = retryInterval
+		}
+		f.restartedAt = batch.receivedAt
+		return pause
 	case errors.Is(err, errStale) && f.mirror.settings.Clock()-confirmed < staleAfter[f.topic]:
 		// The other daemon has not refreshed its copy since the last read.
 		return relayPause
--- a/mirror/rewrite_test.go
+++ b/mirror/rewrite_test.go
@@ -209,3 +209,33 @@
 		g.Expect(follower.View().Servers).To(gomega.HaveKey("a"))
 	})
 }
+
+// alternatingEpoch is a registry that reports its epoch in every second response only.
+type alternatingEpoch struct {
+	*memoryRegistry
+	calls atomic.Int64
+}
+
+func (a *alternatingEpoch) Read(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+	a.change(func() { a.epoch = a.calls.Add(1) % 2 })
+	return a.memoryRegistry.Read(topic, from, wait)
+}
+
+func (a *alternatingEpoch) ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, error) {
+	a.change(func() { a.epoch = a.calls.Add(1) % 2 })
+	return a.memoryRegistry.ReadNewest(topic)
+}
+
+// TestAlternatingEpochIsNotReadFast guards against a loop of reads without a pause when the epoch of the registry changes all the time.
+func TestAlternatingEpochIsNotReadFast(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := &alternatingEpoch{memoryRegistry: newRegistry()}
+		put(t, registry.memoryRegistry, fuchsiarouter.TopicOperator, "config", "1")
+		m := startWithSettings(registry, mirror.Settings{Clock: clockSince(time.Now(), 0)}, registry)
+		defer m.Close()
+		time.Sleep(10 * time.Second)
+		g.Expect(m.View().Configuration.Version).To(gomega.Equal(int64(1)))
+		g.Expect(registry.calls.Load()).To(gomega.BeNumerically("<=", 200))
+	})
+}
