--- a/mirror/restore_random_test.go
+++ b/mirror/restore_random_test.go
@@ -88,6 +88,33 @@
 	}
 }
 
+// restoreInOrder drops a random number of records of both topics, and has all of them written
+// again one after the other.
+func (r *restorable) restoreInOrder() {
+	lost := map[fuchsiarouter.Topic][]fuchsiarouter.KeyedRecord{}
+	r.change(func() {
+		r.epoch++
+		for _, topic := range []fuchsiarouter.Topic{fuchsiarouter.TopicOperator, fuchsiarouter.TopicServers} {
+			records := r.records[topic]
+			kept := min(len(records), max(1, len(records)-r.random.IntN(6)))
+			lost[topic] = records[kept:]
+			r.records[topic] = records[:kept:kept]
+		}
+	})
+	time.Sleep(time.Duration(r.random.IntN(700)) * time.Millisecond)
+	for _, topic := range []fuchsiarouter.Topic{fuchsiarouter.TopicOperator, fuchsiarouter.TopicServers} {
+		for _, record := range lost[topic] {
+			r.write(topic, record.Key, string(record.Value))
+			time.Sleep(time.Duration(r.random.IntN(100)) * time.Millisecond)
+		}
+	}
+}
+
+// expire removes the history of both topics.
+func (r *restorable) expire() {
+	r.change(func() { r.firstOffset = int64(len(r.records[fuchsiarouter.TopicServers])) })
+}
+
 // TestRandomRestorations guards against states that go back, or changes that are missed, when restorations, outages and relays coincide.
 func TestRandomRestorations(t *testing.T) {
 	for seed := range uint64(restorationSeeds) {
@@ -113,7 +140,7 @@
 			last := start(flakySource{mirrorSource{second}, &cuts[3]}, flakySource{mirrorSource{third}, &cuts[4]})
 			defer last.Close()
 			mirrors := []*mirror.Mirror{first, second, third, last}
-			inForce, drained := make([]int64, len(mirrors)), make([]map[string]bool, len(mirrors))
+			inForce, drained, gone := make([]int64, len(mirrors)), make([]map[string]bool, len(mirrors)), make([]map[string]bool, len(mirrors))
 			check := func() {
 				for i, m := range mirrors {
 					if m.View().Configuration == nil {
@@ -122,7 +149,12 @@
 					g.Expect(m.View().Configuration.Version).To(gomega.BeNumerically(">=", inForce[i]), "seed %d", seed)
 					inForce[i] = m.View().Configuration.Version
 					if drained[i] == nil {
-						drained[i] = map[string]bool{}
+						drained[i], gone[i] = map[string]bool{}, map[string]bool{}
+					}
+					for id := range drained[i] {
+						hasLeft, isUsed := registry.servers[id] == "", m.View().Servers[id] != nil
+						g.Expect(gone[i][id] && hasLeft && isUsed).To(gomega.BeFalse(), "seed %d: %s is used again at %d", seed, id, i)
+						gone[i][id] = hasLeft && (gone[i][id] || !isUsed)
 					}
 					for id, server := range m.View().Servers {
 						g.Expect(drained[i][id] && !server.Draining).To(gomega.BeFalse(), "seed %d: %s drains no more at %d", seed, id, i)
@@ -132,7 +164,7 @@
 			}
 			for range 25 {
 				id := fmt.Sprint("s", random.IntN(8))
-				switch random.IntN(8) {
+				switch random.IntN(9) {
 				case 0, 1:
 					registry.publish()
 				case 2, 3:
@@ -146,13 +178,19 @@
 						registry.register(id, true, true)
 					}
 				case 5:
-					registry.restoreBoth()
+					if seed%2 == 0 {
+						registry.restoreBoth()
+					} else {
+						registry.restoreInOrder()
+					}
 				case 6:
 					down := random.IntN(2) == 0
 					registry.change(func() { registry.down = down })
 				case 7:
 					index := random.IntN(len(cuts))
 					cuts[index].Store(!cuts[index].Load())
+				case 8:
+					registry.expire()
 				}
 				for range random.IntN(12) {
 					time.Sleep(50 * time.Millisecond)
