mirror: a relay tells its readers the versions that were replaced

A copy now keeps the last replaced records of each version's key with their dates, and readers get them in order. The cautious date remains for versions that the relay doesn't know itself. TestRelayTellsReplacedVersions failed before: version 2 was not told at all.

--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -1,7 +1,9 @@
 package mirror
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -22,6 +24,9 @@
 	// writtenAt holds, by key, the earliest boot time at which each record may have been
 	// written.
 	writtenAt map[string]time.Duration
+	// replaced holds the last replaced records of each declared version's key, the oldest first.
+	// Each version has a deadline of its own, also for readers that learn of several at once.
+	replaced map[string][]replacedRecord
 	// removed holds the last records of the keys that were removed within removalRetention.
 	removed map[string]removedRecord
 	// epoch is the epoch of the records, and end the offset after the newest one.
@@ -36,6 +41,15 @@
 	changed chan struct{}
 }
 
+// replacedRecord is a replaced record and the earliest boot time at which it may have been written.
+type replacedRecord struct {
+	fuchsiarouter.KeyedRecord
+	writtenAt time.Duration
+}
+
+// maxReplacedRecords is the number of replaced records that are kept of a key.
+const maxReplacedRecords = 8
+
 // store updates the copy of a topic with the records of a read. The record of a version that was
 // known before has the time of its declaration, also when the record is written or read again.
 func (c *topicCopies) store(topic fuchsiarouter.Topic, read topicBatch) {
@@ -49,7 +63,7 @@
 	if older == nil || read.complete {
 		fresh := &topicCopy{
 			records: map[string]fuchsiarouter.KeyedRecord{}, writtenAt: map[string]time.Duration{},
-			removed: map[string]removedRecord{}, startEnd: read.End, replacedEnd: -1, changed: make(chan struct{}),
+			removed: map[string]removedRecord{}, replaced: map[string][]replacedRecord{}, startEnd: read.End, replacedEnd: -1, changed: make(chan struct{}),
 		}
 		if older != nil {
 			if older.epoch == read.Epoch {
@@ -72,6 +86,9 @@
 			} else {
 				kept.rememberRemoval(kept, record.Key, read.receivedAt, false)
 			}
+			if before, known := kept.records[record.Key]; known && ok && kept == older {
+				kept.keepReplaced(before, kept.writtenAt[record.Key])
+			}
 			kept.records[record.Key] = record
 			kept.writtenAt[record.Key] = writtenAt
 		}
@@ -83,6 +100,12 @@
 	}
 }
 
+// keepReplaced keeps a record that is about to be replaced.
+func (c *topicCopy) keepReplaced(record fuchsiarouter.KeyedRecord, writtenAt time.Duration) {
+	records := append(c.replaced[record.Key], replacedRecord{record, writtenAt})
+	c.replaced[record.Key] = records[max(len(records)-maxReplacedRecords, 0):]
+}
+
 // addRemovals adds a removal, which is a record without a value, for each key that has a
 // value in the older copy or was removed before. The records of the read are stored afterwards
 // and replace the removals of the keys that still exist. Readers of the older copy thus learn
@@ -110,7 +133,8 @@
 // readFrom returns the newest record of each key for a read that arrived at the given boot
 // time, and a channel that is closed when the copy changes. Unless newest is set, these are
 // the records from the position on, including those without a value, which stand for removed
-// keys, and none if the copy is of another epoch than the position. If the copy lacks
+// keys, and the replaced ones of declared versions, in the order of their offsets. There are none
+// if the copy is of another epoch than the position. If the copy lacks
 // removals after the position, the batch has all records and is complete. readFrom returns
 // false when the topic was not read yet.
 func (c *topicCopies) readFrom(topic fuchsiarouter.Topic, from fuchsiarouter.Position, newest bool, arrived time.Duration) (fuchsiarouter.KeyedBatch, <-chan struct{}, bool) {
@@ -127,12 +151,23 @@
 	if !newest && from.Offset < kept.startEnd && from.Offset != kept.replacedEnd {
 		newest, batch.Complete = true, true
 	}
+	if !newest {
+		for _, records := range kept.replaced {
+			for _, record := range records {
+				if record.Offset >= from.Offset {
+					record.Age = arrived - record.writtenAt
+					batch.Records = append(batch.Records, record.KeyedRecord)
+				}
+			}
+		}
+	}
 	for _, record := range kept.records {
 		if newest && len(record.Value) > 0 || !newest && record.Offset >= from.Offset {
 			record.Age = arrived - kept.writtenAt[record.Key]
 			batch.Records = append(batch.Records, record)
 		}
 	}
+	slices.SortStableFunc(batch.Records, func(a, b fuchsiarouter.KeyedRecord) int { return cmp.Compare(a.Offset, b.Offset) })
 	return batch, kept.changed, true
 }
 
--- a/mirror/date_test.go
+++ b/mirror/date_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"strconv"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -184,3 +186,48 @@
 		g.Expect(m.View().DeclaredVersions["m"].DeclaredAt).To(gomega.BeNumerically("<=", declared))
 	})
 }
+
+// TestRelayTellsReplacedVersions guards against an entry that takes the first of two versions, which it learns of at once, for declared when it last read the topic, and refuses requests until it is loaded.
+func TestRelayTellsReplacedVersions(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "1")
+		clock := clockSince(time.Now(), time.Hour)
+		relay := startWithSettings(registry, mirror.Settings{Clock: clock}, registry)
+		defer relay.Close()
+		time.Sleep(time.Second)
+		var isCut atomic.Bool
+		var mu sync.Mutex
+		declaredAt := map[int]time.Duration{}
+		source := &changedReader{TopicReader: mirrorSource{relay}, read: func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+			if isCut.Load() {
+				return fuchsiarouter.KeyedBatch{}, errDown
+			}
+			return next.Read(topic, from, wait)
+		}}
+		m := mirror.New(registry, func() []fuchsiarouter.TopicReader { return []fuchsiarouter.TopicReader{source} },
+			mirror.Settings{Clock: clock, RelayWait: 100 * time.Millisecond}, zap.NewNop(), func(view *catalog.View) {
+				mu.Lock()
+				defer mu.Unlock()
+				declaredAt[view.DeclaredVersions["m"].Version] = view.DeclaredVersions["m"].DeclaredAt
+			})
+		defer m.Close()
+		time.Sleep(time.Second)
+		isCut.Store(true)
+		time.Sleep(8 * time.Second)
+		declared := clock()
+		for version := 2; version <= 4; version++ {
+			put(t, registry, fuchsiarouter.TopicOperator, "m", strconv.Itoa(version))
+			time.Sleep(500 * time.Millisecond)
+		}
+		isCut.Store(false)
+		time.Sleep(time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		g.Expect(declaredAt).To(gomega.HaveLen(4))
+		g.Expect(declaredAt[2]).To(gomega.BeNumerically("<=", declared))
+		g.Expect(declaredAt[2]).To(gomega.BeNumerically(">=", declared-operatorWait))
+		g.Expect(declaredAt[3]).To(gomega.BeNumerically(">", declaredAt[2]))
+	})
+}
