loader, supply: drop a version that is learnt of together with a newer one

Loaders decide by the dates of declaration whether the second version supersedes the first. Some of them read the first one through an entry that had been restarted, which knows only that it is no older than their own last read, 8 s before; so for them the second one came too late to supersede it.

A loader that learns of both within the window in which a newer version supersedes an older one has fetched little of the first, and drops it.

A test with whole loaders was tried and dropped: it depends on when they read.

--- a/loader/converge.go
+++ b/loader/converge.go
@@ -10,6 +10,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+	"github.com/fuchsiarouter/fuchsiarouter/supply"
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
 
@@ -275,16 +276,15 @@
 	return l.engineStates[model].version
 }
 
-// isSuperseded reports whether the fetch of a version is to be abandoned because a newer one
-// was declared early enough, see supersedeFraction. If it is unknown when the version was
-// declared, any newer one replaces it.
+// isSuperseded reports whether the fetch of a version is to be abandoned for a newer one, see
+// supersedeFraction. If it is unknown when the version was declared, any newer one replaces it.
 func (l *Loader) isSuperseded(model string, version int) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	declared := l.declaredAt[model]
-	declaredAt, known := declared[version]
-	for newer, newerDeclaredAt := range declared {
-		if newer > version && (!known || newerDeclaredAt-declaredAt < l.supersedeWindow()) {
+	window := l.supersedeWindow()
+	older, known := l.declarations[model][version]
+	for newer, declared := range l.declarations[model] {
+		if newer > version && (!known || older.IsSupersededBy(declared, window)) {
 			return true
 		}
 	}
@@ -382,9 +382,9 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	earliest, found := time.Duration(0), false
-	for version, declaredAt := range l.declaredAt[model] {
-		if version > held && (!found || declaredAt < earliest) {
-			earliest, found = declaredAt, true
+	for version, declared := range l.declarations[model] {
+		if version > held && (!found || declared.DeclaredAt < earliest) {
+			earliest, found = declared.DeclaredAt, true
 		}
 	}
 	return earliest + l.settings.VersionDeadline, found
@@ -397,11 +397,11 @@
 	defer l.mu.Unlock()
 	added := false
 	for model, target := range view.DeclaredVersions {
-		if l.declaredAt[model] == nil {
-			l.declaredAt[model] = map[int]time.Duration{}
+		if l.declarations[model] == nil {
+			l.declarations[model] = map[int]supply.Declaration{}
 		}
-		if _, known := l.declaredAt[model][target.Version]; !known {
-			l.declaredAt[model][target.Version] = target.DeclaredAt
+		if _, known := l.declarations[model][target.Version]; !known {
+			l.declarations[model][target.Version] = supply.Declaration{DeclaredAt: target.DeclaredAt, LearntAt: boottime.Now()}
 			added = true
 		}
 	}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -133,9 +133,8 @@
 	// it to the entries.
 	expectedLoadAt  time.Time
 	loadAnnouncedAt time.Time
-	// declaredAt holds the boot time, as returned by boottime.Now, at which each version
-	// was declared, by model and version.
-	declaredAt map[string]map[int]time.Duration
+	// declarations holds the declared versions by model and version.
+	declarations map[string]map[int]supply.Declaration
 	// pacer limits the pieces that are sent to other loaders, downloads those that are
 	// fetched from them.
 	pacer     supply.Pacer
@@ -161,7 +160,7 @@
 		settings: settings, registry: registry, engine: engine, origin: origin, log: log,
 		counters:  newCounters(metrics.Scope),
 		entryHTTP: relay.NewHTTPClient(), peerHTTP: newPeerHTTP(), caches: map[string]*pieceCache{},
-		engineStates: map[string]engineState{}, declaredAt: map[string]map[int]time.Duration{},
+		engineStates: map[string]engineState{}, declarations: map[string]map[int]supply.Declaration{},
 		downloads: newConcurrencyLimiter(),
 		pacer: supply.Pacer{
 			Rate: max(settings.LinkBandwidth*maxLinkShare, minPieceRate), IdleRate: max(settings.LinkBandwidth, minPieceRate),
