--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -102,8 +102,10 @@
 
 // keepReplaced keeps a record that is about to be replaced.
 func (c *topicCopy) keepReplaced(record fuchsiarouter.KeyedRecord, writtenAt time.Duration) {
-	records := append(c.replaced[record.Key], replacedRecord{record, writtenAt})
-	c.replaced[record.Key] = records[max(len(records)-maxReplacedRecords, 0):]
+	c.replaced[record.Key] = append(c.replaced[record.Key], replacedRecord{record, writtenAt})
+	if len(c.replaced[record.Key]) > maxReplacedRecords {
+		c.replaced[record.Key] = c.replaced[record.Key][1:]
+	}
 }
 
 // addRemovals adds a removal, which is a record without a value, for each key that has a
