--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -55,7 +55,8 @@
 	// next source after a first failure.
 	rereadPause = 20 * time.Millisecond
 	// reregisterGrace is the time from the first successful read after an outage of the
-	// registry within which a live server whose registration expired must register again.
+	// registry within which a live server whose registration expired must register again. Records
+	// that a restoration has lost are written again within the same time.
 	reregisterGrace = 2500 * time.Millisecond
 	// outageThreshold is the age of the copy of the servers' topic that counts as an
 	// outage, unless failed reads through other daemons explain it. A registration that is
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -21,7 +21,8 @@
 type removedRecord struct {
 	fuchsiarouter.KeyedRecord
 	at time.Duration
-	// missing is set if the key may not have been removed, but be missing in a backup.
+	// missing is set if the key was not removed as far as is known, but is missing in a backup.
+	// The same record then counts when it is written again.
 	missing bool
 }
 
