platformtest: requests beside changes of the configuration and trouble of servers

Regression test for LOST: callers on kept connections send streams and plain requests to a real entry while the configuration changes every 100 to 400 ms (routes move, weights, timeouts, limits, keys and services change), beside servers that ask for pauses, leave, fall silent or give no length, beside registrations that come and go, and beside a registry that is restored or away. Each request gets a whole response of a server or a refusal.

--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -24,6 +24,9 @@
 	silenceMark = "SILENCE"
 	// silence is the duration of a silence, after which a sound server goes on.
 	silence = 1200 * time.Millisecond
+	// pauseMark in a reply stands for a short pause, so that the reply takes some time.
+	pauseMark     = "PAUSE"
+	pauseDuration = 25 * time.Millisecond
 )
 
 // scriptedServer is a backend server whose replies are written byte for byte, for responses
@@ -54,12 +57,17 @@
 			go s.serve(conn)
 		}
 	}()
-	f.store.Put(keyedstore.TopicServers, id, fmt.Sprintf(
-		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"models":[{"name":"m","version":1}]}`,
-		service, listener.Addr().String()))
+	f.store.Put(keyedstore.TopicServers, id, s.registration(service))
 	return s
 }
 
+// registration returns the JSON value that registers the server for a service.
+func (s *scriptedServer) registration(service string) string {
+	return fmt.Sprintf(
+		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"models":[{"name":"m","version":1}]}`,
+		service, s.listener.Addr().String())
+}
+
 // serve answers the requests of a connection.
 func (s *scriptedServer) serve(conn net.Conn) {
 	defer func() { _ = conn.Close() }()
@@ -77,8 +85,13 @@
 			if index > 0 {
 				time.Sleep(silence)
 			}
-			if _, err := io.WriteString(conn, part); err != nil {
-				return
+			for index, piece := range strings.Split(part, pauseMark) {
+				if index > 0 {
+					time.Sleep(pauseDuration)
+				}
+				if _, err := io.WriteString(conn, piece); err != nil {
+					return
+				}
 			}
 		}
 		if closeConn {
