exchange: read the answer while a long request is written

A server may turn a long request away before it has read it, and then read on later or close the connection. Callers of non-repeatable requests got 502 (server-lost) although the server had said that it did not run the request, and requests of other callers went on to a server that had asked for a pause.

Cause: the head of a response was read only after the whole request had been written. A write that doesn't fit into the socket's buffer blocks until the server reads on, and fails when the server closes; then the answer in the receive buffer was dropped. Class: an answer is learnt late, or never, since the sender does something else first. What an answer says was lost with it: that the request did not run, that the server leaves, and the pause.

Requests of more than 16 KB are now written in the background while the head is read, and an error of writing no longer hides what the server has sent. A connection whose request was not written to its end is reset, never used again.

Failing before, on:

--- FAIL: TestAnswerBeforeRequestIsRead/closes_false send request: write tcp4 ...: i/o timeout --- FAIL: TestAnswerBeforeRequestIsRead/closes_true send request: write tcp4 ...: write: connection reset by peer --- FAIL: TestPauseBeforeRequestIsRead/closes_false requests that reached the server in its pause: 140, at most 2 allowed --- FAIL: TestPauseBeforeRequestIsRead/closes_true the long request ended with status 502 requests that reached the server in its pause: 351, at most 2 allowed

Now both pass; three runs of the second one.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -46,6 +47,8 @@
 	maxStrayResponses = 2
 	// maxStrayBodyBytes bounds the body of a skipped response. A longer one is an error.
 	maxStrayBodyBytes = 1 << 20
+	// maxDirectWriteBytes is the size up to which a request fits into the buffer of its socket.
+	maxDirectWriteBytes = 16 << 10
 	// smallBodyBytes is the size up to which any number of response bodies are read at the
 	// same time.
 	smallBodyBytes = 64 << 10
@@ -139,12 +142,15 @@
 	// stopAbort prevents the reset of the connection when the context of the request
 	// ends. It returns false if the reset was already triggered.
 	stopAbort func() bool
+	// written is set once the whole request was written.
+	written *atomic.Bool
 }
 
 // Send sends a request, given as the bytes of its head and body, and returns the response
-// as soon as the head of the response was read. The whole response must be read by the
-// deadline. When the context ends before the response is closed, the connection is reset,
-// which tells the server that the request is cancelled. The function match reports how a
+// as soon as the head of the response was read, which may be before the request was written. The
+// whole response must be read by the deadline. When the context ends before the response is
+// closed, the connection is reset, which tells the server that the request is cancelled. The
+// bytes of the request must not be changed. The function match reports how a
 // response with the given head relates to the request; up to maxStrayResponses responses to
 // other requests are skipped, and more of them are an error. The error is ErrUnidentified if a
 // server repeated an earlier response without an ID, or may have done so. Opening a connection
@@ -166,18 +172,33 @@
 		return nil, errors.Wrapf(ErrNotSent, "%v", context.Cause(ctx))
 	}
 	stopAbort := context.AfterFunc(ctx, func() { tcp.Abort(conn.Conn) })
-	response := &Response{client: c, deadline: deadline, conn: conn, stopAbort: stopAbort}
+	response := &Response{client: c, deadline: deadline, conn: conn, stopAbort: stopAbort, written: new(atomic.Bool)}
 	_ = conn.SetDeadline(deadline)
-	if _, err = conn.Write(request); err == nil {
-		err = response.readHead(match)
-	}
-	if err != nil {
+	response.write(request)
+	if err = response.readHead(match); err != nil {
 		response.closeConnection()
 		return nil, errors.Wrap(err, "send request")
 	}
 	return response, nil
 }
 
+// write writes the request, a long one in the background: its server may answer before it has read
+// the request, and then read on later or close the connection. An error of writing is left to the
+// reader, which first gets what the server has sent.
+func (r *Response) write(request []byte) {
+	conn, written := r.conn, r.written
+	write := func() {
+		if _, err := conn.Write(request); err == nil {
+			written.Store(true)
+		}
+	}
+	if len(request) > maxDirectWriteBytes {
+		go write()
+		return
+	}
+	write()
+}
+
 // readHead reads response heads until one belongs to the request, and skips the responses
 // before it.
 func (r *Response) readHead(match func(*fasthttp.ResponseHeader) Match) error {
@@ -282,8 +303,8 @@
 	return n, err
 }
 
-// Close returns the connection to the pool if the response was read to its end and the
-// connection can carry another request, and closes the connection if it cannot. If the
+// Close returns the connection to the pool if the response was read to its end, the request was
+// written and the connection can carry another one, and closes the connection if it cannot. If the
 // response was not read to its end, Close resets the connection, which tells the server
 // that the request is cancelled.
 func (r *Response) Close() {
@@ -294,7 +315,7 @@
 		r.complete = true
 	}
 	notAborted := r.stopAbort()
-	reusable := notAborted && r.complete && r.length != -2 && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0
+	reusable := notAborted && r.complete && r.written.Load() && r.length != -2 && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0
 	if !reusable {
 		r.closeConnection()
 		return
@@ -310,10 +331,10 @@
 	r.client.putIdle(conn)
 }
 
-// closeConnection closes the connection, with a reset if the response is incomplete.
+// closeConnection closes the connection, with a reset if the request or the response is incomplete.
 func (r *Response) closeConnection() {
 	r.stopAbort()
-	if r.complete {
+	if r.complete && r.written.Load() {
 		_ = r.conn.Close()
 	} else {
 		tcp.Abort(r.conn.Conn)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -317,3 +318,43 @@
 	client.CloseExpired(time.Now(), func(target exchange.Target) bool { return target.Incarnation == 2 })
 	g.Expect(client.OpenConnections()).To(gomega.Equal(1))
 }
+
+// TestAnswerBeforeRequestIsRead guards against learning late, or never, of an answer that a server
+// gives before it has read the request.
+func TestAnswerBeforeRequestIsRead(t *testing.T) {
+	for _, closes := range []bool{false, true} {
+		t.Run(fmt.Sprint("closes ", closes), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			listener, err := net.Listen("tcp", "127.0.0.1:0")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(func() { _ = listener.Close() })
+			ended := make(chan struct{})
+			go func() {
+				conn, err := listener.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = io.ReadFull(conn, make([]byte, 100))
+				_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 2\r\n\r\nno")
+				if !closes {
+					<-ended
+				}
+				_ = conn.Close()
+			}()
+			request := []byte("POST / HTTP/1.1\r\nContent-Length: 16777216\r\n\r\n" + strings.Repeat("x", 16<<20))
+			client := exchange.New()
+			start := time.Now()
+			response, err := client.Send(context.Background(), exchange.Target{Address: listener.Addr().String(), ID: "i"}, request,
+				start.Add(deadline), matchID, func() bool { return true })
+			close(ended)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(time.Since(start)).To(gomega.BeNumerically("<", deadline/2))
+			g.Expect(response.Header.StatusCode()).To(gomega.Equal(fasthttp.StatusServiceUnavailable))
+			body, err := response.ReadAll(1<<20, nil)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(string(body)).To(gomega.Equal("no"))
+			response.Close()
+			g.Expect(client.OpenConnections()).To(gomega.BeZero())
+		})
+	}
+}
--- a/standin/platformtest/pause_test.go
+++ b/standin/platformtest/pause_test.go
@@ -1,14 +1,21 @@
 package platformtest_test
 
 import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/onsi/gomega"
+
+	"github.com/fuchsiarouter/fuchsiarouter/standin/keyedstore"
 )
 
 // pauseReply returns a response that refuses a request and asks for a pause.
@@ -176,3 +183,97 @@
 	}
 	g.Expect(len(arrivals)).To(gomega.BeNumerically(">", 2), "the server gets requests between its pauses")
 }
+
+// TestPauseBeforeRequestIsRead guards against requests to a server that asks for a pause before it
+// has read a long request, and against failing that request, which the server has not run.
+func TestPauseBeforeRequestIsRead(t *testing.T) {
+	const pause, notice = 1500 * time.Millisecond, 500 * time.Millisecond
+	for _, closes := range []bool{false, true} {
+		t.Run(fmt.Sprint("closes ", closes), func(t *testing.T) {
+			t.Parallel()
+			g := gomega.NewWithT(t)
+			f := startFleet(t)
+			f.removeServers(f.plainServers)
+			f.store.Put(keyedstore.TopicOperator, "config", strings.Replace(
+				fmt.Sprintf(configurationFormat, 2, `"k1"`), `"maxBodyBytes":10000`, `"maxBodyBytes":16777216`, 1))
+			listener, err := net.Listen("tcp", allocateAddress())
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			t.Cleanup(func() { _ = listener.Close() })
+			var mu sync.Mutex
+			var answered time.Time
+			var arrivals []time.Time
+			serve := func(conn net.Conn) {
+				defer func() { _ = conn.Close() }()
+				reader := bufio.NewReader(conn)
+				for {
+					request, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					isLong := request.ContentLength > 1<<20
+					mu.Lock()
+					arrivals = append(arrivals, time.Now())
+					if isLong {
+						answered = time.Now()
+					}
+					mu.Unlock()
+					if isLong {
+						_, _ = io.WriteString(conn, pauseReply(request, "1.5"))
+						if closes {
+							return
+						}
+						time.Sleep(pause)
+					}
+					_, _ = io.Copy(io.Discard, request.Body)
+					if !isLong {
+						_, _ = io.WriteString(conn, whole(request))
+					}
+				}
+			}
+			go func() {
+				for {
+					conn, err := listener.Accept()
+					if err != nil {
+						return
+					}
+					go serve(conn)
+				}
+			}()
+			f.registerScriptedServer("s0", "plain", listener.Addr().String())
+			f.newScriptedServer("s1", "plain", whole)
+			awaitRegistrations()
+			hasAnswered := func() bool {
+				mu.Lock()
+				defer mu.Unlock()
+				return !answered.IsZero()
+			}
+			var callers sync.WaitGroup
+			callers.Go(func() {
+				for end := time.Now().Add(waitTimeout); !hasAnswered() && time.Now().Before(end); {
+					status, _, _, err := f.send("POST", "/order/x", "k1", strings.Repeat("x", 15<<20))
+					if err != nil || status != http.StatusOK {
+						t.Errorf("the long request ended with status %d, %v", status, err)
+					}
+				}
+			})
+			g.Eventually(hasAnswered, waitTimeout).Should(gomega.BeTrue())
+			for range 8 {
+				callers.Go(func() {
+					for end := time.Now().Add(pause); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+						_, _, _, _ = f.send("POST", "/stock/x", "k1", "")
+					}
+				})
+			}
+			callers.Wait()
+			mu.Lock()
+			defer mu.Unlock()
+			inPause := 0
+			for _, arrival := range arrivals {
+				if since := arrival.Sub(answered); since > notice && since < pause {
+					inPause++
+				}
+			}
+			g.Expect(inPause).To(gomega.BeNumerically("<=", 2))
+		})
+	}
+}
--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -54,10 +54,15 @@
 			go s.serve(conn)
 		}
 	}()
+	f.registerScriptedServer(id, service, listener.Addr().String())
+	return s
+}
+
+// registerScriptedServer registers a server for a service.
+func (f *testFleet) registerScriptedServer(id, service, address string) {
 	f.store.Put(keyedstore.TopicServers, id, fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"models":[{"name":"m","version":1}]}`,
-		service, listener.Addr().String()))
-	return s
+		service, address))
 }
 
 // serve answers the requests of a connection.
