tcp: accept connections again after descriptors were lacking

Its log has "Permanent error when accepting new connections: accept4: too many open files" and "HTTP server stopped" for the ports of callers and of other daemons.

Cause: fasthttp ends its server at the first error of Accept that is no time-out. Class: a passing lack of a resource ends a component for good. All listeners of the ingress and of the loader come from tcp.Listen, so Accept waits there until a connection can be accepted.

--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -11,6 +11,7 @@
 	"syscall"
 	"time"
 
+	"github.com/go-faster/errors"
 	"golang.org/x/sys/unix"
 )
 
@@ -25,6 +26,9 @@
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 3
+	// acceptInterval is the time between two attempts to accept a connection while resources are
+	// lacking.
+	acceptInterval = 20 * time.Millisecond
 )
 
 // dialer sets the timeouts and keep-alive probes on the connections that it opens.
@@ -51,10 +55,40 @@
 }
 
 // Listen listens on the address over IPv4. Accepted connections have the same timeouts and
-// keep-alive probes as those of Dial.
+// keep-alive probes as those of Dial. Accept waits while the process or the machine lacks
+// descriptors or memory for a connection, since HTTP servers stop for good after an error.
 func Listen(address string) (net.Listener, error) {
 	config := net.ListenConfig{Control: dialer.Control, KeepAliveConfig: dialer.KeepAliveConfig}
-	return config.Listen(context.Background(), "tcp4", address)
+	inner, err := config.Listen(context.Background(), "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	return &listener{Listener: inner}, nil
+}
+
+// listener is a net.Listener whose Accept waits for resources.
+type listener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		conn, err := l.Listener.Accept()
+		if err == nil || !lacksResources(err) {
+			return conn, err
+		}
+		time.Sleep(acceptInterval)
+	}
+}
+
+// lacksResources reports whether an error says that the process or the machine has no descriptor
+// or no memory left.
+func lacksResources(err error) bool {
+	for _, cause := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM} {
+		if errors.Is(err, cause) {
+			return true
+		}
+	}
+	return false
 }
 
 // Abort closes a TCP connection with a reset. Sent bytes that the peer has not acknowledged
