ingress: close answered connections when many are open

Impatient callers repeat each refused request on a new connection and leave the old one open, which the entry keeps for ten minutes.

Above half of the descriptors of the process, a connection is now closed after its response, which says so (Connection: close). The rest is left for callers that are being served, for servers and for other daemons. The number is a setting of the package, for tests.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -136,7 +136,7 @@
 func (i *Ingress) serve(ctx *fasthttp.RequestCtx) {
 	i.inFlight.Add(1)
 	r := &request{ctx: ctx, received: time.Now()}
-	if i.draining.Load() {
+	if i.draining.Load() || int(i.callerServer.GetOpenConnectionsCount()) > i.settings.MaxKeptConnections {
 		ctx.SetConnectionClose()
 	}
 	failure := i.admit(r)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -55,6 +55,10 @@
 	// because its caller may be gone without having closed it. Callers keep a connection
 	// open for a few minutes at most.
 	idleTimeout = 10 * time.Minute
+	// callerConnectionShare is the share of the descriptors that callers' connections may take
+	// before they are closed after a response. The others are for the connections to servers and
+	// daemons, and for those of callers that are being served.
+	callerConnectionShare = 0.5
 	// readTimeout bounds the time for reading one request.
 	readTimeout = 20 * time.Second
 	// keyRevocationMargin is subtracted from Settings.KeyRevocation to get the age up to
@@ -119,6 +123,9 @@
 	ResendRatio     float64
 	ResendAllowance float64
 	ResendWindow    time.Duration
+	// MaxKeptConnections is the number of open connections of callers above which connections are
+	// closed after a response. With 0, it follows from the descriptors of the process.
+	MaxKeptConnections int
 }
 
 // Handlers creates the platform-specific HTTP handlers.
@@ -233,6 +240,9 @@
 		declaredVersions: map[string][]catalog.DeclaredVersion{}, peerHTTP: relay.NewHTTPClient(), startedUnixMs: time.Now().UnixMilli(),
 		stop: make(chan struct{}), rosterRead: make(chan struct{}), rosterWaitOver: make(chan struct{}),
 	}
+	if i.settings.MaxKeptConnections == 0 {
+		i.settings.MaxKeptConnections = int(callerConnectionShare * float64(tcp.DescriptorLimit()))
+	}
 	i.lifetime, i.endLifetime = context.WithCancelCause(context.Background())
 	i.unanswered, i.endUnanswered = context.WithCancelCause(i.lifetime)
 	time.AfterFunc(rosterWait, func() { close(i.rosterWaitOver) })
--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -59,10 +59,12 @@
 	readinessAddress string
 	peerAddress      string
 	stopGrace        time.Duration
-	log              *zap.Logger
-	llmServers       []*backendserver.Server
-	plainServers     []*backendserver.Server
-	client           *http.Client
+	// maxKeptConnections is that of the ingresses that are started from now on.
+	maxKeptConnections int
+	log                *zap.Logger
+	llmServers         []*backendserver.Server
+	plainServers       []*backendserver.Server
+	client             *http.Client
 }
 
 // lowestPort is the port of the first address that allocateAddress returns. It is below the
@@ -121,6 +123,7 @@
 		Name: name, AvailabilityZone: "z", Region: "r", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, PeerAddress: peerAddress,
 		KeyRevocation: 5 * time.Second, StopGrace: f.stopGrace, VersionDeadline: 8 * time.Second,
 		DirectoryTTL: 5 * time.Second, ResendRatio: 0.2, ResendAllowance: 100, ResendWindow: 10 * time.Second,
+		MaxKeptConnections: f.maxKeptConnections,
 	}, platform.Dialect{}, platform.NewRegistry(f.store.Address()),
 		ingress.Handlers{Directory: platform.DirectoryHandler, Readiness: platform.ReadinessHandler},
 		f.log, telemetry.NewMetrics("ingress"))
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -80,6 +81,15 @@
 	}
 }
 
+// DescriptorLimit returns the number of descriptors that the process may have open.
+func DescriptorLimit() int {
+	var limit unix.Rlimit
+	if err := unix.Getrlimit(unix.RLIMIT_NOFILE, &limit); err != nil || limit.Cur > math.MaxInt32 {
+		return math.MaxInt32
+	}
+	return int(limit.Cur)
+}
+
 // lacksResources reports whether an error says that the process or the machine has no descriptor
 // or no memory left.
 func lacksResources(err error) bool {
