schedule: check the selected incarnation before a request is written

A request that has selected a server asks again whether the server takes it, since opening a connection takes up to 1.2 s. If the server's registration had lapsed or been replaced in that time, what the selected incarnation had said meanwhile (that it leaves, or a pause) was not found, and the request was sent.

Cause: the check looked up the state of whatever is registered under the ID, and took a missing registration for consent, although the states are kept by incarnation while registrations are missing. Class: a fact about an incarnation is looked up by a name that outlives it. The check now takes the incarnation, and still regards the one that is registered.

Failing before, after 3 tests: TestNoRequestInPause, "a request is written to {b b2 2} in its pause" (register, submit, lapse, leave). It draws registrations, lapses, restarts under the same ID, pauses, leaving, releases and waits in random orders.

--- a/ingress/availability.go
+++ b/ingress/availability.go
@@ -80,7 +80,7 @@
 // stillTakes reports whether a selected server may still be sent a request.
 func (i *Ingress) stillTakes(server *catalog.Server) bool {
 	i.mu.Lock()
-	takes := i.scheduler.Takes(time.Now(), server.ID)
+	takes := i.scheduler.Takes(time.Now(), server.Incarnation())
 	i.mu.Unlock()
 	if !takes {
 		i.metrics.requestsWithheld.Inc(1)
--- a/schedule/availability.go
+++ b/schedule/availability.go
@@ -36,10 +36,15 @@
 	})
 }
 
-// Takes reports whether a server that was selected may still be sent a request: it has neither said
-// that it leaves nor asked for a pause since.
-func (s *Scheduler) Takes(now time.Time, id string) bool {
-	server := s.servers[id]
+// Takes reports whether a request may still be sent to an incarnation of a server that was selected
+// for it: neither this one nor the one that is registered now has said since that it leaves or asked
+// for a pause.
+func (s *Scheduler) Takes(now time.Time, id availability.Server) bool {
+	state := s.availability.Find(id)
+	if state.IsLeaving() || state.IsPaused(now) {
+		return false
+	}
+	server := s.servers[id.ID]
 	return server == nil || !server.isLeaving() && !server.availability.IsPaused(now)
 }
 
