loader: send the engine nothing during the pause that it asks for

A loader polls its engine four to ten times a second, and stores pieces and orders loads there. An engine that answered such a call 503 with Retry-After was called on as before: 20 calls reached it between half a second after the answer and the end of 2.5 s, where the rule allows two.

Cause: only the entries read Retry-After; the loader's client took the answer for any other failure. Class: a fact that a server states is honoured by one kind of sender only. The client now reports the pause as an error of its own, and the loader makes no call before its end. A pause ends with the incarnation of the engine in the registry, since the next one knows nothing of it and needs its weights.

Failing before: TestLoaderHonoursPauseOfEngine, 20 calls in the pause.

--- a/loader/announce.go
+++ b/loader/announce.go
@@ -110,3 +110,14 @@
 		_ = conn.Close()
 	}
 }
+
+// registeredStart returns the start, in Unix ms, of the engine's incarnation in its registration, 0
+// if there is none.
+func (l *Loader) registeredStart() int64 {
+	for _, server := range l.mirror.View().Servers {
+		if server.Address == l.settings.EngineAddress {
+			return server.Started
+		}
+	}
+	return 0
+}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -157,7 +157,7 @@
 	origin fuchsiarouter.PieceOrigin, log *zap.Logger, metrics telemetry.Metrics,
 ) (*Loader, error) {
 	l := &Loader{
-		settings: settings, registry: registry, engine: engine, origin: origin, log: log,
+		settings: settings, registry: registry, origin: origin, log: log,
 		counters:  newCounters(metrics.Scope),
 		entryHTTP: relay.NewHTTPClient(), peerHTTP: newPeerHTTP(), caches: map[string]*pieceCache{},
 		engineStates: map[string]engineState{}, declarations: map[string]map[int]supply.Declaration{},
@@ -168,7 +168,8 @@
 		wakeConverge: make(chan struct{}, 1), wakeFetch: make(chan struct{}, 1), stop: make(chan struct{}),
 		converged: make(chan struct{}),
 	}
-	l.calls = newEngineCalls(engine, log, l.counters)
+	l.engine = &pausableEngine{engine: engine, startedAt: l.registeredStart}
+	l.calls = newEngineCalls(l.engine, log, l.counters)
 	listener, err := tcp.Listen(settings.PieceAddress)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen at piece address")
@@ -177,11 +178,6 @@
 		Handler: l.handler(metrics), IdleTimeout: 10 * time.Second, ReadTimeout: 10 * time.Second,
 		NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
-	l.done.Go(func() {
-		if err := l.server.Serve(listener); err != nil {
-			log.Error("piece server ended", telemetry.Cause(err))
-		}
-	})
 	l.mirror = mirror.New(registry, l.topicSources, mirror.Settings{OperatorWait: operatorPollTimeout, ServersInterval: serversPollInterval},
 		log, func(view *catalog.View) {
 			if l.recordDeclarations(view) {
@@ -189,6 +185,11 @@
 				signal(l.wakeFetch)
 			}
 		})
+	l.done.Go(func() {
+		if err := l.server.Serve(listener); err != nil {
+			log.Error("piece server ended", telemetry.Cause(err))
+		}
+	})
 	l.done.Go(l.converge)
 	l.done.Go(l.fetchLoop)
 	l.done.Go(l.repeatAnnouncements)
--- a/staged.go
+++ b/staged.go
@@ -10,9 +10,17 @@
 // have carried out the call, or may still carry it out.
 var ErrUnanswered = errors.New("no answer of the engine")
 
+// PauseError reports that a staged engine has turned a call away and wants no further one of this
+// machine for a time.
+type PauseError struct{ Pause time.Duration }
+
+// Error implements error.
+func (e *PauseError) Error() string { return "the engine asks for a pause of " + e.Pause.String() }
+
 // StagedEngine is a model engine that loads a version from pieces, the parts of the
 // version's weights, which the daemon on its VM has stored at the engine (staged) before.
-// No other daemon can stage pieces there.
+// No other daemon can stage pieces there. The errors of its calls are PauseErrors if it asks for a
+// pause.
 type StagedEngine interface {
 	// Report requests the status of the engine.
 	Report() (EngineReport, error)
