exchange: hear a refusal that is on its way when its request is cancelled

A server that turned a request away and asked for a pause in the same few ms in which the caller left, or the request was cancelled for another reason, was sent requests on: the connection was reset at once, and the answer on its way was dropped. A server that asks only now and then is not heard again for a while.

Cause: a cancelled request reset its connection, whatever had just been sent to it. Class: an answer that concerns all requests is discarded with the one that it belongs to. A connection is now reset no sooner than 50 ms after its request was sent, by when a server that refuses without delay has been heard. Servers still learn of a cancelled request in a tenth of the time that they may work on it, and one that makes no progress is cancelled seconds after sending, so at once as before.

Failing before: TestAnswerAfterCancel, the answer was not read ("send request: EOF"). Now the package passes, five runs with the race detector.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -49,6 +49,10 @@
 	maxStrayBodyBytes = 1 << 20
 	// maxDirectWriteBytes is the size up to which a request fits into the buffer of its socket.
 	maxDirectWriteBytes = 16 << 10
+	// refusalTime is the time after which a server that turns a request away without delay has been
+	// heard. A request that is cancelled before is reset only then, so that its answer, which may
+	// ask for a pause, is not lost on the way.
+	refusalTime = 50 * time.Millisecond
 	// smallBodyBytes is the size up to which any number of response bodies are read at the
 	// same time.
 	smallBodyBytes = 64 << 10
@@ -149,8 +153,9 @@
 // Send sends a request, given as the bytes of its head and body, and returns the response
 // as soon as the head of the response was read, which may be before the request was written. The
 // whole response must be read by the deadline. When the context ends before the response is
-// closed, the connection is reset, which tells the server that the request is cancelled. The
-// bytes of the request must not be changed. The function match reports how a
+// closed, the connection is reset, refusalTime after sending at the earliest. This tells the
+// server that the request is cancelled. The bytes of the request must not be changed. The function
+// match reports how a
 // response with the given head relates to the request; up to maxStrayResponses responses to
 // other requests are skipped, and more of them are an error. The error is ErrUnidentified if a
 // server repeated an earlier response without an ID, or may have done so. Opening a connection
@@ -171,7 +176,10 @@
 		c.closeRemoved(conn)
 		return nil, errors.Wrapf(ErrNotSent, "%v", context.Cause(ctx))
 	}
-	stopAbort := context.AfterFunc(ctx, func() { tcp.Abort(conn.Conn) })
+	sentAt := time.Now()
+	stopAbort := context.AfterFunc(ctx, func() {
+		time.AfterFunc(refusalTime-time.Since(sentAt), func() { tcp.Abort(conn.Conn) })
+	})
 	response := &Response{client: c, deadline: deadline, conn: conn, stopAbort: stopAbort, written: new(atomic.Bool)}
 	_ = conn.SetDeadline(deadline)
 	response.write(request)
--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -358,3 +358,26 @@
 		})
 	}
 }
+
+// TestAnswerAfterCancel guards against losing what a server answers at once to a request that is
+// cancelled while the answer is on its way.
+func TestAnswerAfterCancel(t *testing.T) {
+	g := gomega.NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	s := startServer(t, func(int) string {
+		cancel()
+		time.Sleep(15 * time.Millisecond)
+		return "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
+	})
+	read := false
+	response, err := exchange.New().Send(ctx, s.target, []byte("GET / HTTP/1.1\r\n\r\n"), time.Now().Add(deadline),
+		func(header *fasthttp.ResponseHeader) exchange.Match {
+			read = header.StatusCode() == fasthttp.StatusServiceUnavailable
+			return matchID(header)
+		}, func() bool { return true })
+	if err == nil {
+		response.Close()
+	}
+	g.Expect(read).To(gomega.BeTrue(), "%v", err)
+	g.Eventually(s.connClosed, deadline).Should(gomega.Receive())
+}
