--- a/standin/platformtest/change_test.go
+++ b/standin/platformtest/change_test.go
@@ -118,7 +118,7 @@
 	f.started++
 	id, name := fmt.Sprint("s", f.started), []string{"llm", "llm2", "plain", "plain2"}[service]
 	server := f.newScriptedServer(id, name, func(request *http.Request) string { return f.reply(request, f.requests.Add(1)) })
-	f.servers[service] = append(f.servers[service], registeredServer{id, server.registration(name)})
+	f.servers[service] = append(f.servers[service], registeredServer{id, scriptedRegistration(name, server.listener.Addr().String())})
 }
 
 // removeOldest removes the registration that a service has had longest. The server goes on with
--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -57,15 +57,20 @@
 			go s.serve(conn)
 		}
 	}()
-	f.store.Put(keyedstore.TopicServers, id, s.registration(service))
+	f.registerScriptedServer(id, service, listener.Addr().String())
 	return s
 }
 
-// registration returns the JSON value that registers the server for a service.
-func (s *scriptedServer) registration(service string) string {
+// registerScriptedServer registers the server at the address for a service.
+func (f *testFleet) registerScriptedServer(id, service, address string) {
+	f.store.Put(keyedstore.TopicServers, id, scriptedRegistration(service, address))
+}
+
+// scriptedRegistration returns the JSON value that registers the server at the address for a service.
+func scriptedRegistration(service, address string) string {
 	return fmt.Sprintf(
 		`{"service":%q,"address":%q,"zone":"z","version":"v1","slots":4,"state":"ready","coldRemainingMs":0,"seq":1,"models":[{"name":"m","version":1}]}`,
-		service, s.listener.Addr().String())
+		service, address)
 }
 
 // serve answers the requests of a connection.
