exchange: keep the connection whose long request has just been written

A connection of a sound server was reset after a whole answer to a long request, and the next request opened a new one: 45 to 133 of 3000 consecutive requests of 200 KB on loopback, 0 before long requests were written in the background.

Cause: the goroutine that writes notes the end of writing after its last system call. The goroutine that reads may get the whole response before that and takes the request for one that was not written.

Close now waits up to 20 ms for the end of writing once the whole response was read. A server that answers before it has read the request still gets a reset, after that time.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,7 +18,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -53,6 +52,9 @@
 	// heard. A request that is cancelled before is reset only then, so that its answer, which may
 	// ask for a pause, is not lost on the way.
 	refusalTime = 50 * time.Millisecond
+	// writeEndTimeout bounds the wait for the end of writing after the end of the response. The
+	// goroutine that writes may run after the one that has read the response.
+	writeEndTimeout = 20 * time.Millisecond
 	// smallBodyBytes is the size up to which any number of response bodies are read at the
 	// same time.
 	smallBodyBytes = 64 << 10
@@ -146,8 +148,15 @@
 	// stopAbort prevents the reset of the connection when the context of the request
 	// ends. It returns false if the reset was already triggered.
 	stopAbort func() bool
-	// written is set once the whole request was written.
-	written *atomic.Bool
+	// writing is the state of writing the request.
+	writing *requestWrite
+}
+
+// requestWrite is the state of writing a request.
+type requestWrite struct {
+	// ended is closed when writing has ended. err is set before.
+	ended chan struct{}
+	err   error
 }
 
 // Send sends a request, given as the bytes of its head and body, and returns the response
@@ -180,11 +189,11 @@
 	stopAbort := context.AfterFunc(ctx, func() {
 		time.AfterFunc(refusalTime-time.Since(sentAt), func() { tcp.Abort(conn.Conn) })
 	})
-	response := &Response{client: c, deadline: deadline, conn: conn, stopAbort: stopAbort, written: new(atomic.Bool)}
+	response := &Response{client: c, deadline: deadline, conn: conn, stopAbort: stopAbort, writing: &requestWrite{ended: make(chan struct{})}}
 	_ = conn.SetDeadline(deadline)
 	response.write(request)
 	if err = response.readHead(match); err != nil {
-		response.closeConnection()
+		response.closeConnection(false)
 		return nil, errors.Wrap(err, "send request")
 	}
 	return response, nil
@@ -194,11 +203,10 @@
 // the request, and then read on later or close the connection. An error of writing is left to the
 // reader, which first gets what the server has sent.
 func (r *Response) write(request []byte) {
-	conn, written := r.conn, r.written
+	conn, writing := r.conn, r.writing
 	write := func() {
-		if _, err := conn.Write(request); err == nil {
-			written.Store(true)
-		}
+		_, writing.err = conn.Write(request)
+		close(writing.ended)
 	}
 	if len(request) > maxDirectWriteBytes {
 		go write()
@@ -311,6 +319,21 @@
 	return n, err
 }
 
+// isWritten reports whether the whole request was written, and waits up to writeEndTimeout for it.
+func (r *Response) isWritten() bool {
+	select {
+	case <-r.writing.ended:
+		return r.writing.err == nil
+	default:
+	}
+	select {
+	case <-r.writing.ended:
+		return r.writing.err == nil
+	case <-time.After(writeEndTimeout):
+		return false
+	}
+}
+
 // Close returns the connection to the pool if the response was read to its end, the request was
 // written and the connection can carry another one, and closes the connection if it cannot. If the
 // response was not read to its end, Close resets the connection, which tells the server
@@ -323,9 +346,10 @@
 		r.complete = true
 	}
 	notAborted := r.stopAbort()
-	reusable := notAborted && r.complete && r.written.Load() && r.length != -2 && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0
+	isDone := r.complete && r.isWritten()
+	reusable := notAborted && isDone && r.length != -2 && !r.Header.ConnectionClose() && r.conn.reader.Buffered() == 0
 	if !reusable {
-		r.closeConnection()
+		r.closeConnection(isDone)
 		return
 	}
 	idleTimeout := defaultIdleTimeout
@@ -339,10 +363,11 @@
 	r.client.putIdle(conn)
 }
 
-// closeConnection closes the connection, with a reset if the request or the response is incomplete.
-func (r *Response) closeConnection() {
+// closeConnection closes the connection, with a reset unless the request was written and the response
+// read to their ends.
+func (r *Response) closeConnection(isDone bool) {
 	r.stopAbort()
-	if r.complete && r.written.Load() {
+	if isDone {
 		_ = r.conn.Close()
 	} else {
 		tcp.Abort(r.conn.Conn)
