exchange: report a reset while a long request is written

Cause: the error of a reset is reported to one system call of a socket. While a long request is written in the background, that may be the write; the read then gets the end of the connection, which is the end of a body without a length.

The end of the connection is the end of such a body only if the request was written.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -315,6 +315,10 @@
 		return n, err
 	}
 	n, err := r.conn.reader.Read(buffer)
+	if errors.Is(err, io.EOF) && !r.isWritten() {
+		// The error of a reset is reported once, and may have gone to the write.
+		err = io.ErrUnexpectedEOF
+	}
 	r.complete = errors.Is(err, io.EOF)
 	return n, err
 }
--- a/exchange/write_test.go
+++ b/exchange/write_test.go
@@ -17,6 +17,37 @@
 	"github.com/fuchsiarouter/fuchsiarouter/exchange"
 )
 
+// TestResetBeforeRequestIsRead guards against taking a body that a reset has cut for a whole one.
+func TestResetBeforeRequestIsRead(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	hasHead, isReset := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(isReset)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadFull(conn, make([]byte, 100))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nId: 1\r\nConnection: close\r\n\r\npart")
+		<-hasHead
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	request := []byte("POST / HTTP/1.1\r\nContent-Length: 16777216\r\n\r\n" + strings.Repeat("x", 16<<20))
+	response, err := exchange.New().Send(context.Background(), exchange.Target{Address: listener.Addr().String(), ID: "i"}, request,
+		time.Now().Add(deadline), matchID, func() bool { return true })
+	close(hasHead)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	defer response.Close()
+	<-isReset
+	time.Sleep(50 * time.Millisecond)
+	body, err := response.ReadAll(1<<20, nil)
+	g.Expect(err).To(gomega.HaveOccurred(), "body %q", body)
+}
+
 // TestReusesConnectionsForLongRequests guards against resetting the connection of a server that has
 // read a long request and answered it.
 func TestReusesConnectionsForLongRequests(t *testing.T) {
