ingress: send a refused request again without waiting for the body of the refusal

A request that a server had refused was held until its deadline if the body of the refusal did not come. Callers got 503 queue-full at their deadline, also with another server free, and callers that had left by then got nothing.

Cause: the body of a response that is not passed on is read to its end, so that the connection can be used again, before the request is sent to another server. Only the deadline of the request bounded that. Class: what an answer says is acted on only after something else has been done.

The body is read for at most 100 ms; then the connection is reset.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -367,6 +367,16 @@
 	r.client.putIdle(conn)
 }
 
+// Discard reads the rest of a body of up to limit bytes, for at most timeout, so that the connection
+// can be used again, and closes the response.
+func (r *Response) Discard(limit int, timeout time.Duration) {
+	if end := time.Now().Add(timeout); end.Before(r.deadline) {
+		_ = r.conn.SetReadDeadline(end)
+	}
+	_, _ = r.ReadAll(limit, nil)
+	r.Close()
+}
+
 // closeConnection closes the connection, with a reset unless the request was written and the response
 // read to their ends.
 func (r *Response) closeConnection(isDone bool) {
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -23,6 +23,8 @@
 	// maxDiscardedBytes bounds the body of a response that is not passed to the caller. The
 	// connection of a longer one is closed.
 	maxDiscardedBytes = 16 << 10
+	// discardTimeout bounds the time for reading such a body. The request is sent again after it.
+	discardTimeout = 100 * time.Millisecond
 	// minFirstTimeoutShare is the shortest timeout with which callers of a route send a
 	// request for the first time, as a fraction of the longest one. The timeouts of
 	// callers differ by 15 %.
@@ -333,9 +335,7 @@
 			i.scheduler.MarkReplaced(server.ID)
 			i.mu.Unlock()
 		}
-		// A short body is read so that the connection can be used again.
-		_, _ = response.http.ReadAll(maxDiscardedBytes, nil)
-		response.http.Close()
+		response.http.Discard(maxDiscardedBytes, discardTimeout)
 	}
 	switch {
 	case r.callerCtx.Err() != nil:
