entry, agent: accept connections again after descriptors were lacking

The entry and the agent of the product of its own accepted no connection any more after their process had run out of descriptors once, while the process went on (same class as in tcp.Listen: a passing lack of a resource ends a component for good). They listen with net.Listen, so the Accept that waits did not apply to them. Their servers now wait in the same way. The server of control messages did already.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -39,6 +39,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/revision"
 	"github.com/fuchsiarouter/fuchsiarouter/settings"
 	"github.com/fuchsiarouter/fuchsiarouter/spread"
+	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 	"github.com/fuchsiarouter/fuchsiarouter/trace"
 	"github.com/fuchsiarouter/fuchsiarouter/transfer"
@@ -181,7 +182,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	a.goroutines.Go(func() {
-		if err := a.server.Serve(a.listener); err != nil {
+		if err := a.server.Serve(tcp.WaitForResources(a.listener)); err != nil {
 			a.log.Error("HTTP server stopped", zap.Error(err))
 		}
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/revision"
 	"github.com/fuchsiarouter/fuchsiarouter/routing"
 	"github.com/fuchsiarouter/fuchsiarouter/settings"
+	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 	"github.com/fuchsiarouter/fuchsiarouter/trace"
 	"github.com/fuchsiarouter/fuchsiarouter/upstream"
@@ -189,7 +190,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	e.goroutines.Go(func() {
-		if err := e.server.Serve(lingeringListener{e.listener}); err != nil {
+		if err := e.server.Serve(lingeringListener{tcp.WaitForResources(e.listener)}); err != nil {
 			e.log.Error("HTTP server stopped", zap.Error(err))
 		}
 	})
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -64,9 +64,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &listener{Listener: inner}, nil
+	return WaitForResources(inner), nil
 }
 
+// WaitForResources returns a listener whose Accept waits like that of Listen.
+func WaitForResources(inner net.Listener) net.Listener { return &listener{Listener: inner} }
+
 // listener is a net.Listener whose Accept waits for resources.
 type listener struct{ net.Listener }
 
