ingress: keep servers in use when descriptors are lacking

While the process has no descriptor for a connection to a server, each request that needs one is refused. The entry took these failures for those of the servers and ejected them, for longer each time, so that callers were refused 503 queue-full after descriptors were free again: for 1.5 s after a lack of 3 s, at most 4 s.

Cause: any failure to open a connection counts as a refusal of the server. Class: a lack of this process is held against a sound peer. The exchange now tells it apart, and the server is released as after a cancelled request. The request may be sent again as before, since it did not run.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -68,6 +68,10 @@
 // ErrNotSent.
 var ErrWithheld = errors.Wrap(ErrNotSent, "the server takes no requests now")
 
+// ErrNoResources reports that the request was not sent since this process or its machine has no
+// descriptor or memory for a connection. It is an ErrNotSent.
+var ErrNoResources = errors.Wrap(ErrNotSent, "no resources for a connection")
+
 // ErrUnidentified reports a response that does not say which of the requests on its connection
 // it belongs to.
 var ErrUnidentified = errors.New("response without the ID of a request on a connection that has carried others")
@@ -174,6 +178,9 @@
 	takes func() bool,
 ) (*Response, error) {
 	conn, err := c.acquire(target)
+	if tcp.LacksResources(err) {
+		return nil, errors.Wrapf(ErrNoResources, "%v", err)
+	}
 	if err != nil {
 		return nil, errors.Wrapf(ErrNotSent, "%v", err)
 	}
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -350,7 +350,11 @@
 	suspect := crashSuspect{
 		attemptID: r.AttemptID, fingerprint: r.fingerprint, promptParts: r.PromptParts, sound: i.stallDetector.isSound(r.activeAttempt),
 	}
-	i.releaseServer(r, server.ID, outcome)
+	released := outcome
+	if errors.Is(err, exchange.ErrNoResources) {
+		released = schedule.Cancelled
+	}
+	i.releaseServer(r, server.ID, released)
 	if !notRun {
 		r.possibleRuns++
 	}
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -77,7 +77,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err == nil || !lacksResources(err) {
+		if err == nil || !LacksResources(err) {
 			return conn, err
 		}
 		time.Sleep(acceptInterval)
@@ -93,9 +93,9 @@
 	return int(limit.Cur)
 }
 
-// lacksResources reports whether an error says that the process or the machine has no descriptor
+// LacksResources reports whether an error says that the process or the machine has no descriptor
 // or no memory left.
-func lacksResources(err error) bool {
+func LacksResources(err error) bool {
 	for _, cause := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM} {
 		if errors.Is(err, cause) {
 			return true
