--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -64,9 +64,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return &listener{Listener: inner}, nil
+	return WaitForResources(inner), nil
 }
 
+// WaitForResources returns a listener whose Accept waits like that of Listen.
+func WaitForResources(inner net.Listener) net.Listener { return &listener{Listener: inner} }
+
 // listener is a net.Listener whose Accept waits for resources.
 type listener struct{ net.Listener }
 
@@ -74,7 +77,7 @@
 func (l *listener) Accept() (net.Conn, error) {
 	for {
 		conn, err := l.Listener.Accept()
-		if err == nil || !lacksResources(err) {
+		if err == nil || !LacksResources(err) {
 			return conn, err
 		}
 		time.Sleep(acceptInterval)
@@ -90,9 +93,9 @@
 	return int(limit.Cur)
 }
 
-// lacksResources reports whether an error says that the process or the machine has no descriptor
+// LacksResources reports whether an error says that the process or the machine has no descriptor
 // or no memory left.
-func lacksResources(err error) bool {
+func LacksResources(err error) bool {
 	for _, cause := range []error{unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM} {
 		if errors.Is(err, cause) {
 			return true
