loader: end the pause of an engine that restarts, also if it was not registered

A loader that did not know the registration of its engine when the engine asked for a pause kept to that pause for all incarnations, up to an hour: a restarted engine was neither polled nor given its weights.

Cause: an unknown incarnation counted as every one. The loader now also keeps the time of the pause, and an engine that started later is another incarnation.

--- a/loader/engine_pause.go
+++ b/loader/engine_pause.go
@@ -21,8 +21,9 @@
 
 	mu          sync.Mutex
 	pausedUntil time.Time
-	// pausedStart is the start of the incarnation that has asked for the pause.
-	pausedStart int64
+	// pausedAt is the Unix time in ms at which the pause was asked for, and pausedStart the start of
+	// the incarnation that has asked for it, 0 if that is not known.
+	pausedAt, pausedStart int64
 }
 
 var _ fuchsiarouter.StagedEngine = (*pausableEngine)(nil)
@@ -39,7 +40,7 @@
 	if errors.As(err, &pause) {
 		e.mu.Lock()
 		if until := time.Now().Add(pause.Pause); until.After(e.pausedUntil) || e.pausedStart != startedAt {
-			e.pausedUntil, e.pausedStart = until, startedAt
+			e.pausedUntil, e.pausedAt, e.pausedStart = until, time.Now().UnixMilli(), startedAt
 		}
 		e.mu.Unlock()
 	}
@@ -47,7 +48,8 @@
 }
 
 // isPaused reports whether the registered incarnation has asked for a pause. While there is no
-// registration, the incarnation is taken to be the same.
+// registration, the incarnation is taken to be the same. If there was none when the pause was asked
+// for, one that has started before asked for it: the engine and this daemon share the clock of their VM.
 func (e *pausableEngine) isPaused() bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -55,7 +57,10 @@
 		return false
 	}
 	startedAt := e.startedAt()
-	return startedAt == 0 || e.pausedStart == 0 || startedAt == e.pausedStart
+	if e.pausedStart == 0 {
+		return startedAt <= e.pausedAt
+	}
+	return startedAt == 0 || startedAt == e.pausedStart
 }
 
 // Report implements fuchsiarouter.StagedEngine.
