platformtest: tell delays within replies from pauses of servers

pauseMark stood beside pauseReply, which is a server's request for a pause, and meant something else. Renamed; TestChangesOfConfigurationLoseNoRequest and the tests of pauses pass.

--- a/standin/platformtest/change_test.go
+++ b/standin/platformtest/change_test.go
@@ -60,7 +60,7 @@
 	const parts = 10
 	var paced strings.Builder
 	for part := range parts {
-		paced.WriteString(reply[len(reply)*part/parts:len(reply)*(part+1)/parts] + pauseMark)
+		paced.WriteString(reply[len(reply)*part/parts:len(reply)*(part+1)/parts] + delayMark)
 	}
 	if closes {
 		paced.WriteString(closeMark)
@@ -152,7 +152,7 @@
 			reply := whole(request, number)
 			if number%8 == 0 {
 				at := len(reply) * (1 + int(number/8)%4) / 5
-				at += strings.Index(reply[at:], pauseMark)
+				at += strings.Index(reply[at:], delayMark)
 				return reply[:at] + silenceMark + reply[at:]
 			}
 			return reply
--- a/standin/platformtest/scripted_test.go
+++ b/standin/platformtest/scripted_test.go
@@ -24,9 +24,9 @@
 	silenceMark = "SILENCE"
 	// silence is the duration of a silence, after which a sound server goes on.
 	silence = 1200 * time.Millisecond
-	// pauseMark in a reply stands for a short pause, so that the reply takes some time.
-	pauseMark     = "PAUSE"
-	pauseDuration = 25 * time.Millisecond
+	// delayMark in a reply stands for a short delay, so that the reply takes some time.
+	delayMark     = "DELAY"
+	delayDuration = 25 * time.Millisecond
 )
 
 // scriptedServer is a backend server whose replies are written byte for byte, for responses
@@ -90,9 +90,9 @@
 			if index > 0 {
 				time.Sleep(silence)
 			}
-			for index, piece := range strings.Split(part, pauseMark) {
+			for index, piece := range strings.Split(part, delayMark) {
 				if index > 0 {
-					time.Sleep(pauseDuration)
+					time.Sleep(delayDuration)
 				}
 				if _, err := io.WriteString(conn, piece); err != nil {
 					return
