tcp: log a lack of descriptors and its end

A listener that waits for descriptors did so without a line in the log, so an on-call engineer saw only that callers' connections timed out. It now logs when connections begin to wait, at most once a second, and when they are accepted again. TestAcceptsAfterLackOfDescriptors expects both lines.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -182,7 +182,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	a.cancel = cancel
 	a.goroutines.Go(func() {
-		if err := a.server.Serve(tcp.WaitForResources(a.listener)); err != nil {
+		if err := a.server.Serve(tcp.WaitForResources(a.listener, a.log)); err != nil {
 			a.log.Error("HTTP server stopped", zap.Error(err))
 		}
 	})
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -190,7 +190,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	e.stop = cancel
 	e.goroutines.Go(func() {
-		if err := e.server.Serve(lingeringListener{tcp.WaitForResources(e.listener)}); err != nil {
+		if err := e.server.Serve(lingeringListener{tcp.WaitForResources(e.listener, e.log)}); err != nil {
 			e.log.Error("HTTP server stopped", zap.Error(err))
 		}
 	})
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -310,7 +310,7 @@
 		if endpoint.address == "" {
 			continue
 		}
-		listener, err := tcp.Listen(endpoint.address)
+		listener, err := tcp.Listen(endpoint.address, i.log)
 		if err != nil {
 			return errors.Wrapf(err, "listen on %s", endpoint.address)
 		}
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -170,7 +170,7 @@
 	}
 	l.engine = &pausableEngine{engine: engine, startedAt: l.registeredStart}
 	l.calls = newEngineCalls(l.engine, log, l.counters)
-	listener, err := tcp.Listen(settings.PieceAddress)
+	listener, err := tcp.Listen(settings.PieceAddress, log)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen at piece address")
 	}
--- a/tcp/listen_test.go
+++ b/tcp/listen_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sys/unix"
 
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
@@ -15,7 +17,8 @@
 // after its process has run out of descriptors once.
 func TestAcceptsAfterLackOfDescriptors(t *testing.T) {
 	g := gomega.NewWithT(t)
-	listener, err := tcp.Listen("127.0.0.1:0")
+	core, lines := observer.New(zap.InfoLevel)
+	listener, err := tcp.Listen("127.0.0.1:0", zap.New(core))
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	t.Cleanup(func() { _ = listener.Close() })
 	conn, err := net.Dial("tcp", listener.Addr().String())
@@ -36,6 +39,8 @@
 		accepted <- err
 	}()
 	g.Consistently(accepted, 100*time.Millisecond).ShouldNot(gomega.Receive())
+	g.Expect(lines.FilterLevelExact(zap.WarnLevel).Len()).To(gomega.Equal(1))
 	restore()
 	g.Eventually(accepted, 3*time.Second).Should(gomega.Receive(gomega.BeNil()))
+	g.Expect(lines.FilterMessage("connections accepted again").Len()).To(gomega.Equal(1))
 }
--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -13,7 +13,11 @@
 	"time"
 
 	"github.com/go-faster/errors"
+	"go.uber.org/zap"
 	"golang.org/x/sys/unix"
+	"golang.org/x/time/rate"
+
+	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
 
 const (
@@ -30,6 +34,8 @@
 	// acceptInterval is the time between two attempts to accept a connection while resources are
 	// lacking.
 	acceptInterval = 20 * time.Millisecond
+	// lackLogInterval is the shortest time between two log lines about a lack of resources.
+	lackLogInterval = time.Second
 )
 
 // dialer sets the timeouts and keep-alive probes on the connections that it opens.
@@ -57,29 +63,48 @@
 
 // Listen listens on the address over IPv4. Accepted connections have the same timeouts and
 // keep-alive probes as those of Dial. Accept waits while the process or the machine lacks
-// descriptors or memory for a connection, since HTTP servers stop for good after an error.
-func Listen(address string) (net.Listener, error) {
+// descriptors or memory for a connection, since HTTP servers stop for good after an error, and logs
+// the begin and the end of such a lack.
+func Listen(address string, log *zap.Logger) (net.Listener, error) {
 	config := net.ListenConfig{Control: dialer.Control, KeepAliveConfig: dialer.KeepAliveConfig}
 	inner, err := config.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
-	return WaitForResources(inner), nil
+	return WaitForResources(inner, log), nil
 }
 
-// WaitForResources returns a listener whose Accept waits like that of Listen.
-func WaitForResources(inner net.Listener) net.Listener { return &listener{Listener: inner} }
+// WaitForResources returns a listener whose Accept waits like that of Listen. It must be called by
+// one goroutine at a time.
+func WaitForResources(inner net.Listener, log *zap.Logger) net.Listener {
+	return &listener{Listener: inner, log: log, lackLogged: rate.Sometimes{Interval: lackLogInterval}}
+}
 
 // listener is a net.Listener whose Accept waits for resources.
-type listener struct{ net.Listener }
+type listener struct {
+	net.Listener
+	log *zap.Logger
+	// lackLogged bounds the log lines while resources are lacking again and again.
+	lackLogged rate.Sometimes
+}
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
+	var lackingSince time.Time
 	for {
 		conn, err := l.Listener.Accept()
 		if err == nil || !LacksResources(err) {
+			if !lackingSince.IsZero() {
+				l.log.Info("connections accepted again", zap.Stringer("address", l.Addr()), zap.Duration("after", time.Since(lackingSince)))
+			}
 			return conn, err
 		}
+		if lackingSince.IsZero() {
+			l.lackLogged.Do(func() {
+				lackingSince = time.Now()
+				l.log.Warn("connections wait for descriptors or memory", zap.Stringer("address", l.Addr()), telemetry.Cause(err))
+			})
+		}
 		time.Sleep(acceptInterval)
 	}
 }
