exchange: name the error of writing when there is no answer

Since requests are written in the background, a reset that went to the write was logged as "send request: EOF", the error of the read: the log of a failed request no longer told a reset from a server that had closed the connection.

The error of an unanswered request now also has that of writing, or says that the request was not written yet. Nothing but the logs uses the text.

Failing before, 5 runs of 5:

--- FAIL: TestResetWithoutAnswerIsNamed (0.02s) send request: EOF

Now the package passes, ten runs with the race detector.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -163,6 +163,16 @@
 	err   error
 }
 
+// describe says why the request is not written to its end.
+func (w *requestWrite) describe() string {
+	select {
+	case <-w.ended:
+		return w.err.Error()
+	default:
+		return "the request is not written yet"
+	}
+}
+
 // Send sends a request, given as the bytes of its head and body, and returns the response
 // as soon as the head of the response was read, which may be before the request was written. The
 // whole response must be read by the deadline. When the context ends before the response is
@@ -200,6 +210,9 @@
 	_ = conn.SetDeadline(deadline)
 	response.write(request)
 	if err = response.readHead(match); err != nil {
+		if !response.isWritten() {
+			err = errors.Wrap(err, response.writing.describe())
+		}
 		response.closeConnection(false)
 		return nil, errors.Wrap(err, "send request")
 	}
--- a/exchange/write_test.go
+++ b/exchange/write_test.go
@@ -48,6 +48,28 @@
 	g.Expect(err).To(gomega.HaveOccurred(), "body %q", body)
 }
 
+// TestResetWithoutAnswerIsNamed guards against a log that has the end of the connection as the cause
+// of a request whose connection was reset.
+func TestResetWithoutAnswerIsNamed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = io.ReadFull(conn, make([]byte, 100))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	request := []byte("POST / HTTP/1.1\r\nContent-Length: 16777216\r\n\r\n" + strings.Repeat("x", 16<<20))
+	_, err = exchange.New().Send(context.Background(), exchange.Target{Address: listener.Addr().String(), ID: "i"}, request,
+		time.Now().Add(deadline), matchID, func() bool { return true })
+	g.Expect(err).To(gomega.MatchError(gomega.Or(gomega.ContainSubstring("reset by peer"), gomega.ContainSubstring("broken pipe"))))
+}
+
 // TestReusesConnectionsForLongRequests guards against resetting the connection of a server that has
 // read a long request and answered it.
 func TestReusesConnectionsForLongRequests(t *testing.T) {
