--- a/standin/platformtest/change_test.go
+++ b/standin/platformtest/change_test.go
@@ -150,8 +150,8 @@
 		}},
 		{name: "servers fall silent", reply: func(request *http.Request, number int32) string {
 			reply := whole(request, number)
-			if number%8 == 0 {
-				at := len(reply) * (1 + int(number/8)%4) / 5
+			if number%3 == 0 {
+				at := len(reply) * (1 + int(number/3)%4) / 5
 				at += strings.Index(reply[at:], delayMark)
 				return reply[:at] + silenceMark + reply[at:]
 			}
