--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -319,8 +319,7 @@
 	g.Expect(client.OpenConnections()).To(gomega.Equal(1))
 }
 
-// TestAnswerBeforeRequestIsRead guards against learning late, or never, of an answer that a server
-// gives before it has read the request.
+// TestAnswerBeforeRequestIsRead guards against missing what a server answers before it has read the request.
 func TestAnswerBeforeRequestIsRead(t *testing.T) {
 	for _, closes := range []bool{false, true} {
 		t.Run(fmt.Sprint("closes ", closes), func(t *testing.T) {
@@ -359,8 +358,7 @@
 	}
 }
 
-// TestAnswerAfterCancel guards against losing what a server answers at once to a request that is
-// cancelled while the answer is on its way.
+// TestAnswerAfterCancel guards against missing a refusal on its way to a request that is cancelled.
 func TestAnswerAfterCancel(t *testing.T) {
 	g := gomega.NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/exchange/write_test.go
+++ b/exchange/write_test.go
@@ -48,8 +48,7 @@
 	g.Expect(err).To(gomega.HaveOccurred(), "body %q", body)
 }
 
-// TestResetWithoutAnswerIsNamed guards against a log that has the end of the connection as the cause
-// of a request whose connection was reset.
+// TestResetWithoutAnswerIsNamed guards against a log that takes a reset for the end of the connection.
 func TestResetWithoutAnswerIsNamed(t *testing.T) {
 	g := gomega.NewWithT(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
@@ -70,8 +69,7 @@
 	g.Expect(err).To(gomega.MatchError(gomega.Or(gomega.ContainSubstring("reset by peer"), gomega.ContainSubstring("broken pipe"))))
 }
 
-// TestReusesConnectionsForLongRequests guards against resetting the connection of a server that has
-// read a long request and answered it.
+// TestReusesConnectionsForLongRequests guards against resetting the connection of a long request that was answered.
 func TestReusesConnectionsForLongRequests(t *testing.T) {
 	g := gomega.NewWithT(t)
 	var connections atomic.Int32
