tests: one line on each regression test, one set-up for paused engines

Regression tests of this issue had comments of two lines; each has one now.

TestLoaderHonoursPauseOfEngine registered the start of the second incarnation as the Unix time of 2 ms, so a loader that read the first registration after the pause could not tell it from the first. The restart is a test of its own, TestPauseEndsWithIncarnationOfEngine, with the engine registered before the pause and after it; it asks for the same calls, and that the pause holds until the restart.

--- a/entry/descriptors_test.go
+++ b/entry/descriptors_test.go
@@ -10,8 +10,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// TestAcceptsAfterLackOfDescriptors guards against an entry that accepts no connection any more after
-// its process has run out of descriptors once.
+// TestAcceptsAfterLackOfDescriptors guards against an entry that accepts nothing after a lack of descriptors.
 func TestAcceptsAfterLackOfDescriptors(t *testing.T) {
 	f := startEntry(t)
 	http.DefaultClient.CloseIdleConnections()
--- a/schedule/pause_test.go
+++ b/schedule/pause_test.go
@@ -13,8 +13,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/schedule"
 )
 
-// TestNoRequestInPause guards against a request to a server that leaves or has asked for a pause,
-// whatever happens to its registration before the request is written.
+// TestNoRequestInPause guards against a request to a server that has said that it takes none.
 func TestNoRequestInPause(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s, now := schedule.New("z", keyOf), start
--- a/standin/platformtest/change_test.go
+++ b/standin/platformtest/change_test.go
@@ -130,8 +130,7 @@
 	return server
 }
 
-// TestChangesOfConfigurationLoseNoRequest guards against a whole request that gets neither an answer
-// nor a refusal since the configuration changes while servers or the registry are in trouble.
+// TestChangesOfConfigurationLoseNoRequest guards against a request without an answer beside changes and trouble.
 func TestChangesOfConfigurationLoseNoRequest(t *testing.T) {
 	t.Parallel()
 	whole := func(request *http.Request, _ int32) string { return changeReply(request, "chunked", "200 OK") }
--- a/standin/platformtest/connections_test.go
+++ b/standin/platformtest/connections_test.go
@@ -12,8 +12,7 @@
 	"github.com/onsi/gomega"
 )
 
-// TestManyKeptConnections guards against an entry that runs out of descriptors, since callers leave
-// open the connections on which they have been answered.
+// TestManyKeptConnections guards against running out of descriptors for connections that callers leave open.
 func TestManyKeptConnections(t *testing.T) {
 	const limit, connections = 4, 12
 	g := gomega.NewWithT(t)
--- a/standin/platformtest/descriptors_test.go
+++ b/standin/platformtest/descriptors_test.go
@@ -13,8 +13,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// TestServersAfterLackOfDescriptors guards against taking sound servers out of use since this entry
-// had no descriptor for a connection to them.
+// TestServersAfterLackOfDescriptors guards against ejecting servers for a lack of descriptors of the entry.
 func TestServersAfterLackOfDescriptors(t *testing.T) {
 	g := gomega.NewWithT(t)
 	f := startFleet(t)
--- a/standin/platformtest/engine_pause_test.go
+++ b/standin/platformtest/engine_pause_test.go
@@ -18,82 +18,110 @@
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
 
-// TestLoaderHonoursPauseOfEngine guards against calls of a loader to an engine in the pause that the
-// engine has asked for, and against none after it or to the next incarnation.
+// pausingEngine is an engine that answers the first call of its loader by asking for a pause.
+type pausingEngine struct {
+	store   *keyedstore.Store
+	address string
+	// started is the start of the incarnation that asks for the pause.
+	started time.Time
+
+	mu sync.Mutex
+	// arrivals are the times of the calls of the loader.
+	arrivals []time.Time
+}
+
+// startPausingEngine starts an engine, which is registered at first or not, and its loader.
+// retryAfter is the pause in seconds.
+func startPausingEngine(t *testing.T, retryAfter string, registered bool) *pausingEngine {
+	g := gomega.NewWithT(t)
+	store, err := keyedstore.New(allocateAddress())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(store.Close)
+	listener, err := net.Listen("tcp", allocateAddress())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	e := &pausingEngine{store: store, address: listener.Addr().String(), started: time.Now().Add(-time.Minute)}
+	server := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		e.arrivals = append(e.arrivals, time.Now())
+		if len(e.arrivals) > 1 {
+			_, _ = writer.Write([]byte(`{"born":1,"models":[],"busy":true,"seq":0}`))
+			return
+		}
+		writer.Header().Set("X-Not-Executed", "busy")
+		writer.Header().Set("Retry-After", retryAfter)
+		writer.WriteHeader(http.StatusServiceUnavailable)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	store.Put(keyedstore.TopicOperator, "config", `{"version":1,"routes":[],"services":[`+
+		`{"name":"llm","engine":{"slots":4,"chunks":4,"chunkBytes":1,"models":[{"name":"m"}]}}]}`)
+	store.Put(keyedstore.TopicServers, "other", fmt.Sprintf(oddRegistration, `"born":1`))
+	if registered {
+		e.register(e.started)
+	}
+	pieceAddress := allocateAddress()
+	ip, _, err := net.SplitHostPort(pieceAddress)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	daemon, err := loader.New(loader.Settings{
+		Name: "l", IP: ip, AvailabilityZone: "z", Region: "r", EngineAddress: e.address, Service: "llm", LinkBandwidth: 1 << 20,
+		PieceAddress: pieceAddress, PeerPort: 1,
+	}, platform.NewRegistry(store.Address()), platform.NewEngine(e.address), pieceOrigin{}, zap.NewNop(), telemetry.NewMetrics("loader"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { daemon.Drain() })
+	g.Eventually(e.calls, waitTimeout).Should(gomega.BeNumerically(">", 0))
+	return e
+}
+
+// register registers an incarnation of the engine.
+func (e *pausingEngine) register(started time.Time) {
+	born := fmt.Sprintf(`"born":%d`, started.UnixMilli())
+	e.store.Put(keyedstore.TopicServers, "own", strings.Replace(fmt.Sprintf(oddRegistration, born), "127.0.0.1:9", e.address, 1))
+}
+
+// calls returns the number of calls of the loader.
+func (e *pausingEngine) calls() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.arrivals)
+}
+
+// callsInPause returns the number of calls after the notice that a loader may need and before the
+// end of the pause.
+func (e *pausingEngine) callsInPause(notice, pause time.Duration) int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	count := 0
+	for _, arrival := range e.arrivals {
+		if since := arrival.Sub(e.arrivals[0]); since > notice && since < pause {
+			count++
+		}
+	}
+	return count
+}
+
+// TestLoaderHonoursPauseOfEngine guards against calls to an engine in its pause, and against none after it.
 func TestLoaderHonoursPauseOfEngine(t *testing.T) {
+	t.Parallel()
+	g := gomega.NewWithT(t)
 	const notice, pause = 500 * time.Millisecond, 2500 * time.Millisecond
-	for _, restarts := range []bool{false, true} {
-		t.Run(fmt.Sprint("restarts ", restarts), func(t *testing.T) {
+	engine := startPausingEngine(t, "2.5", true)
+	time.Sleep(pause)
+	g.Eventually(engine.calls, waitTimeout).Should(gomega.BeNumerically(">", 3))
+	g.Expect(engine.callsInPause(notice, pause)).To(gomega.BeNumerically("<=", 2))
+}
+
+// TestPauseEndsWithIncarnationOfEngine guards against a pause that outlasts the engine that asked for it.
+func TestPauseEndsWithIncarnationOfEngine(t *testing.T) {
+	for _, registered := range []bool{false, true} {
+		t.Run(fmt.Sprint("registered before ", registered), func(t *testing.T) {
 			t.Parallel()
 			g := gomega.NewWithT(t)
-			store, err := keyedstore.New(allocateAddress())
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			t.Cleanup(store.Close)
-			listener, err := net.Listen("tcp", allocateAddress())
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			retryAfter := "2.5"
-			if restarts {
-				retryAfter = "600"
-			}
-			var mu sync.Mutex
-			var asked time.Time
-			var arrivals []time.Time
-			engine := &http.Server{Handler: http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
-				mu.Lock()
-				defer mu.Unlock()
-				arrivals = append(arrivals, time.Now())
-				if !asked.IsZero() {
-					_, _ = writer.Write([]byte(`{"born":1,"models":[],"busy":true,"seq":0}`))
-					return
-				}
-				asked = time.Now()
-				writer.Header().Set("X-Not-Executed", "busy")
-				writer.Header().Set("Retry-After", retryAfter)
-				writer.WriteHeader(http.StatusServiceUnavailable)
-			})}
-			go func() { _ = engine.Serve(listener) }()
-			t.Cleanup(func() { _ = engine.Close() })
-			address := listener.Addr().String()
-			register := func(born int) {
-				store.Put(keyedstore.TopicServers, "own", strings.Replace(
-					fmt.Sprintf(oddRegistration, fmt.Sprintf(`"born":%d`, born)), "127.0.0.1:9", address, 1))
-			}
-			store.Put(keyedstore.TopicOperator, "config", `{"version":1,"routes":[],"services":[`+
-				`{"name":"llm","engine":{"slots":4,"chunks":4,"chunkBytes":1,"models":[{"name":"m"}]}}]}`)
-			register(1)
-			pieceAddress := allocateAddress()
-			ip, _, err := net.SplitHostPort(pieceAddress)
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			daemon, err := loader.New(loader.Settings{
-				Name: "l", IP: ip, AvailabilityZone: "z", Region: "r", EngineAddress: address, Service: "llm", LinkBandwidth: 1 << 20,
-				PieceAddress: pieceAddress, PeerPort: 1,
-			}, platform.NewRegistry(store.Address()), platform.NewEngine(address), pieceOrigin{}, zap.NewNop(), telemetry.NewMetrics("loader"))
-			g.Expect(err).NotTo(gomega.HaveOccurred())
-			t.Cleanup(func() { daemon.Drain() })
-			count := func() int {
-				mu.Lock()
-				defer mu.Unlock()
-				return len(arrivals)
-			}
-			g.Eventually(count, waitTimeout).Should(gomega.BeNumerically(">", 0))
-			if restarts {
-				register(2)
-			}
-			if !restarts {
-				time.Sleep(pause)
-			}
-			g.Eventually(count, waitTimeout).Should(gomega.BeNumerically(">", 3))
-			mu.Lock()
-			defer mu.Unlock()
-			inPause := 0
-			for _, arrival := range arrivals {
-				if since := arrival.Sub(asked); since > notice && since < pause {
-					inPause++
-				}
-			}
-			if !restarts {
-				g.Expect(inPause).To(gomega.BeNumerically("<=", 2))
-			}
+			engine := startPausingEngine(t, "600", registered)
+			engine.register(engine.started)
+			g.Consistently(engine.calls, time.Second).Should(gomega.Equal(1))
+			engine.register(time.Now())
+			g.Eventually(engine.calls, waitTimeout).Should(gomega.BeNumerically(">", 3))
 		})
 	}
 }
--- a/standin/platformtest/pause_test.go
+++ b/standin/platformtest/pause_test.go
@@ -184,8 +184,7 @@
 	g.Expect(len(arrivals)).To(gomega.BeNumerically(">", 2), "the server gets requests between its pauses")
 }
 
-// TestPauseBeforeRequestIsRead guards against requests to a server that asks for a pause before it
-// has read a long request, and against failing that request, which the server has not run.
+// TestPauseBeforeRequestIsRead guards against missing a pause that is asked for before a long request is read.
 func TestPauseBeforeRequestIsRead(t *testing.T) {
 	const pause, notice = 1500 * time.Millisecond, 500 * time.Millisecond
 	for _, closes := range []bool{false, true} {
--- a/standin/platformtest/refusal_test.go
+++ b/standin/platformtest/refusal_test.go
@@ -10,8 +10,7 @@
 	"github.com/onsi/gomega"
 )
 
-// TestRefusalWithoutBody guards against holding a request until its deadline for the body of a
-// refusal, instead of sending it to another server.
+// TestRefusalWithoutBody guards against holding a refused request for the body of the refusal.
 func TestRefusalWithoutBody(t *testing.T) {
 	for _, path := range []string{"/order/x", "/report/x"} {
 		t.Run(path, func(t *testing.T) {
--- a/tcp/listen_test.go
+++ b/tcp/listen_test.go
@@ -13,8 +13,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
-// TestAcceptsAfterLackOfDescriptors guards against a server that accepts no connection any more
-// after its process has run out of descriptors once.
+// TestAcceptsAfterLackOfDescriptors guards against a listener that ends for good when descriptors are lacking.
 func TestAcceptsAfterLackOfDescriptors(t *testing.T) {
 	g := gomega.NewWithT(t)
 	core, lines := observer.New(zap.InfoLevel)
--- a/upstream/early_answer_test.go
+++ b/upstream/early_answer_test.go
@@ -15,8 +15,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/upstream"
 )
 
-// TestAnswerBeforeRequestIsRead guards against learning late, or never, of an answer that a server
-// gives before it has read the request.
+// TestAnswerBeforeRequestIsRead guards against missing what a server answers before it has read the request.
 func TestAnswerBeforeRequestIsRead(t *testing.T) {
 	if os.Getenv("KNOWN_RED") == "" {
 		t.Skip("passed over, see KNOWN-RED.txt")
