--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -350,11 +350,12 @@
 	suspect := crashSuspect{
 		attemptID: r.AttemptID, fingerprint: r.fingerprint, promptParts: r.PromptParts, sound: i.stallDetector.isSound(r.activeAttempt),
 	}
-	released := outcome
+	// A lack of descriptors here says nothing about the server.
+	releaseOutcome := outcome
 	if errors.Is(err, exchange.ErrNoResources) {
-		released = schedule.Cancelled
+		releaseOutcome = schedule.Cancelled
 	}
-	i.releaseServer(r, server.ID, released)
+	i.releaseServer(r, server.ID, releaseOutcome)
 	if !notRun {
 		r.possibleRuns++
 	}
