tcp: don't log the end of a lack when the listener is closed

A listener that was closed while it waited for descriptors logged that connections are accepted again. It logs that now only with a connection. TestAcceptsAfterLackOfDescriptors passes. The comment on WaitForResources asked for a single goroutine, which nothing needs.

--- a/tcp/tcp.go
+++ b/tcp/tcp.go
@@ -74,8 +74,7 @@
 	return WaitForResources(inner, log), nil
 }
 
-// WaitForResources returns a listener whose Accept waits like that of Listen. It must be called by
-// one goroutine at a time.
+// WaitForResources returns a listener whose Accept waits like that of Listen.
 func WaitForResources(inner net.Listener, log *zap.Logger) net.Listener {
 	return &listener{Listener: inner, log: log, lackLogged: rate.Sometimes{Interval: lackLogInterval}}
 }
@@ -94,7 +93,7 @@
 	for {
 		conn, err := l.Listener.Accept()
 		if err == nil || !LacksResources(err) {
-			if !lackingSince.IsZero() {
+			if err == nil && !lackingSince.IsZero() {
 				l.log.Info("connections accepted again", zap.Stringer("address", l.Addr()), zap.Duration("after", time.Since(lackingSince)))
 			}
 			return conn, err
