schedule, ingress, roster: serve restricted requests only in allowed regions

Cause: operators restrict routes and workspaces to regions with allowedRegions, which was ignored. The scheduler checks the region of a server wherever it selects one, counts only the capacity there and refuses with 2013 if there is none; the ingress checks again before it writes. The directory lists the entries of the caller's region.

--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -8,6 +8,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"sort"
 	"strings"
 	"time"
@@ -66,6 +67,8 @@
 	ToModelEngine bool
 	// Resumable is set when streams of the route may continue on another backend server.
 	Resumable bool
+	// AllowedRegions are the regions in which requests of the route may be served.
+	AllowedRegions RegionSet
 }
 
 // IsIdempotent reports whether requests of the route may run more than once.
@@ -163,6 +166,9 @@
 	// Rank is the priority class of the workspace; 0 is the most urgent. No daemon reads
 	// it: a request has the rank of its route.
 	Rank int
+	// AllowedRegions are the regions in which requests of the workspace may be served. A request
+	// may be served only where both its route and its workspace allow it.
+	AllowedRegions RegionSet
 }
 
 // Configuration is the configuration that operators published.
@@ -179,13 +185,15 @@
 	keys map[string]*Workspace
 	// workspaces is the number of workspaces.
 	workspaces int
+	// namedRegions are the regions in the lists of all routes and workspaces.
+	namedRegions RegionSet
 }
 
 // NewConfiguration returns a configuration without routes.
 func NewConfiguration(version int64, limits Limits) *Configuration {
 	return &Configuration{
 		Version: version, Limits: limits, Services: map[string]*Service{},
-		routes: map[string][]*Route{}, keys: map[string]*Workspace{},
+		routes: map[string][]*Route{}, keys: map[string]*Workspace{}, namedRegions: RegionSet{},
 	}
 }
 
@@ -195,11 +203,13 @@
 	routes = append(routes, route)
 	sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	c.routes[route.Host] = routes
+	maps.Copy(c.namedRegions, route.AllowedRegions)
 }
 
 // AddWorkspace adds a workspace and its API keys.
 func (c *Configuration) AddWorkspace(workspace *Workspace, keys []string) {
 	c.workspaces++
+	maps.Copy(c.namedRegions, workspace.AllowedRegions)
 	for _, key := range keys {
 		c.keys[key] = workspace
 	}
@@ -220,6 +230,10 @@
 // routes. It is false while there are no workspaces.
 func (c *Configuration) NeedsKey() bool { return c.workspaces > 0 }
 
+// NamedRegions returns the regions in the lists of allowed regions of all routes and workspaces. It
+// is empty if requests may be served everywhere.
+func (c *Configuration) NamedRegions() RegionSet { return c.namedRegions }
+
 // Workspace returns the workspace that the API key belongs to, or nil.
 func (c *Configuration) Workspace(key string) *Workspace { return c.keys[key] }
 
--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -59,7 +59,7 @@
 func runIngress(ctx context.Context, c *cli.Command) error {
 	return runOnPlatform(ctx, c, "ingress", func(node *platform.NodeSettings, log *zap.Logger, metrics telemetry.Metrics) (drainer, error) {
 		return ingress.New(ingress.Settings{
-			Name: node.Name, AvailabilityZone: node.AvailabilityZone, Region: node.Region,
+			Name: node.Name, AvailabilityZone: node.AvailabilityZone, Region: node.Region, Regions: node.Regions,
 			CallerAddress: node.CallerAddress, ReadinessAddress: node.ReadinessAddress, DirectoryAddress: node.DirectoryAddress,
 			PeerAddress:   node.PeerAddress(node.IP, ingressPortIndex),
 			KeyRevocation: node.KeyRevocation, StopGrace: node.StopGrace, VersionDeadline: node.VersionDeadline,
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -60,6 +60,7 @@
 	r.scheduling = schedule.Request{
 		Service: r.service, Rank: r.rank, Workspace: r.workspace, Arrived: r.received,
 		FirstEventTarget: r.received.Add(targetDelay - r.sinceFirstSend), Deadline: r.deadline,
+		AllowedRegions: r.allowedRegions,
 	}
 	if r.route.Patience > 0 {
 		r.scheduling.AbandonAt = r.received.Add(r.route.Patience)
@@ -202,6 +203,8 @@
 	switch decision.Reason {
 	case schedule.NoServer:
 		code = result.NoServer
+	case schedule.RegionUnavailable:
+		code = result.RegionUnavailable
 	case schedule.Expired:
 		code = result.DeadlineUnreachable
 	case schedule.Paused:
@@ -270,7 +273,7 @@
 				return exchange.Unidentified
 			}
 			return exchange.Other
-		}, func() bool { return i.stillTakes(server) })
+		}, func() bool { return i.stillTakes(r, server) })
 	if err != nil {
 		return nil, err
 	}
--- a/ingress/availability.go
+++ b/ingress/availability.go
@@ -77,10 +77,12 @@
 	}
 }
 
-// stillTakes reports whether a selected server may still be sent a request.
-func (i *Ingress) stillTakes(server *catalog.Server) bool {
+// stillTakes reports whether a selected server may still be sent a request. A server whose
+// registration was replaced while the request was queued may be in another availability zone than the
+// selected one.
+func (i *Ingress) stillTakes(r *request, server *catalog.Server) bool {
 	i.mu.Lock()
-	takes := i.scheduler.Takes(time.Now(), server.Incarnation())
+	takes := i.scheduler.Takes(time.Now(), server.Incarnation()) && i.scheduler.AllowsZone(&r.scheduling, server.AvailabilityZone)
 	i.mu.Unlock()
 	if !takes {
 		i.metrics.requestsWithheld.Inc(1)
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -50,7 +50,9 @@
 	service       string
 	workspace     string
 	rank          int
-	received      time.Time
+	// allowedRegions are the regions that both the route and the workspace allow.
+	allowedRegions catalog.RegionSet
+	received       time.Time
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 	// configurationAge is the age that the copy of the configuration had at most when the
@@ -200,7 +202,7 @@
 		}
 		return result.UnknownService.Error("no route")
 	}
-	r.rank = r.route.Rank
+	r.rank, r.allowedRegions = r.route.Rank, r.route.AllowedRegions
 	if r.configuration.NeedsKey() && !r.route.Public {
 		workspace := r.configuration.Workspace(r.APIKey)
 		switch {
@@ -212,6 +214,7 @@
 			return result.Unauthenticated.Error("no workspace has the key")
 		}
 		r.workspace = workspace.Name
+		r.allowedRegions = r.allowedRegions.Intersect(workspace.AllowedRegions)
 	}
 	r.fingerprint = requestFingerprint(&r.ctx.Request, r.APIKey)
 	if failure := i.checkCrashes(r); failure != nil {
@@ -365,6 +368,9 @@
 	if r.workspace != "" {
 		fields = append(fields, zap.String("workspace", r.workspace))
 	}
+	if r.allowedRegions != nil {
+		fields = append(fields, zap.Strings("allowed-regions", r.allowedRegions.Names()))
+	}
 	if r.framing != "" {
 		fields = append(fields, zap.String("framing", r.framing))
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -91,6 +91,8 @@
 	Name             string
 	AvailabilityZone string
 	Region           string
+	// Regions holds the region of each availability zone.
+	Regions map[string]string
 	// CallerAddress, ReadinessAddress and DirectoryAddress are the addresses to listen on
 	// for requests of callers, for readiness checks of the platform and for reads of the
 	// directory, the list of entries for callers. The last two are optional. PeerAddress
@@ -208,6 +210,8 @@
 	endUnanswered context.CancelCauseFunc
 	// requestsEndedByStop is the number of requests that the stop of the daemon has ended.
 	requestsEndedByStop atomic.Int64
+	// unknownNames holds the unknown regions and availability zones that were logged.
+	unknownNames unknownNames
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
@@ -230,10 +234,12 @@
 func New(settings Settings, dialect fuchsiarouter.Dialect, registry fuchsiarouter.Registry, handlers Handlers,
 	log *zap.Logger, metrics telemetry.Metrics,
 ) (*Ingress, error) {
+	settings.Regions = regionsOfZones(settings)
 	i := &Ingress{
 		settings: settings, dialect: dialect, registry: registry, upstream: exchange.New(), log: log,
 		requestLog: newRequestLog(log), metrics: newRequestMetrics(metrics.Scope),
-		scheduler: schedule.New(settings.AvailabilityZone, roster.ServerKey), resendBudgets: map[string]*resendBudget{},
+		scheduler:    schedule.NewInRegions(settings.AvailabilityZone, settings.Regions, roster.ServerKey),
+		unknownNames: unknownNames{logged: map[string]struct{}{}}, resendBudgets: map[string]*resendBudget{},
 		longestTimeouts: map[string]time.Duration{}, stallDetector: newStallDetector(), stallsReportedAt: map[string]time.Time{},
 		strikes:          quarantine.New(quarantine.Settings{StrikeLifetime: strikeTTL, RefuseFrom: refusalStrikes}),
 		promptParts:      quarantine.NewParts(),
@@ -343,6 +349,7 @@
 // applyView passes a new view of the registry to the scheduler and records newly declared
 // versions.
 func (i *Ingress) applyView(view *catalog.View) {
+	i.reportUnknownRegions(view.Configuration)
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.scheduler.SetServers(time.Now(), view.Servers)
@@ -451,16 +458,21 @@
 	return view.Configuration != nil && len(view.Servers) > 0 && i.mirror.OperatorAge() < i.settings.KeyRevocation-keyRevocationMargin
 }
 
-// callerAddresses returns the addresses of the entries for callers of an availability zone,
-// and how long callers may cache them. This entry is included if it is ready.
-func (i *Ingress) callerAddresses(_, zone string) ([]string, time.Duration) {
-	ready := i.isReady()
+// callerAddresses returns the addresses of the entries for callers of a region and an availability
+// zone, and how long callers may cache them. This entry is included if it is ready. If some requests
+// may be served only in some regions, entries of other regions than the caller's are included only
+// if there is none in the caller's.
+func (i *Ingress) callerAddresses(region, zone string) ([]string, time.Duration) {
+	ready, region := i.isReady(), i.directoryRegion(region, zone)
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	addresses := i.roster.CallerAddresses(time.Now(), zone, ready)
+	addresses, listsOthers := i.roster.CallerAddresses(time.Now(), region, zone, ready)
 	if len(addresses) == 0 {
 		// An entry that refuses requests is better than an empty directory.
-		addresses = []string{i.settings.CallerAddress}
+		addresses, listsOthers = []string{i.settings.CallerAddress}, region != "" && region != i.settings.Region
+	}
+	if listsOthers {
+		i.metrics.otherRegionsListed.Inc(1)
 	}
 	return addresses, min(maxDirectoryTTL, i.settings.DirectoryTTL)
 }
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -74,22 +74,26 @@
 	serversLeaving   tally.Counter
 	serverPauses     tally.Counter
 	requestsWithheld tally.Counter
+	// otherRegionsListed counts the responses of the directory that list entries of other regions
+	// than the caller's although some requests may be served only in some regions.
+	otherRegionsListed tally.Counter
 	// serverConnections is the number of open connections to backend servers.
 	serverConnections tally.Gauge
 }
 
 func newRequestMetrics(scope tally.Scope) requestMetrics {
 	return requestMetrics{
-		scope:             scope,
-		statusFailures:    scope.Counter("news_failed"),
-		duration:          scope.Histogram("request_seconds", latencyBuckets),
-		timeToFirstEvent:  scope.Histogram("first_event_seconds", latencyBuckets),
-		inFlight:          scope.Gauge("requests_in_flight"),
-		configurationAge:  scope.Gauge("view_age_seconds"),
-		serversLeaving:    scope.Counter("servers_leaving"),
-		serverPauses:      scope.Counter("server_pauses"),
-		requestsWithheld:  scope.Counter("requests_withheld"),
-		serverConnections: scope.Gauge("server_connections"),
+		scope:              scope,
+		statusFailures:     scope.Counter("news_failed"),
+		duration:           scope.Histogram("request_seconds", latencyBuckets),
+		timeToFirstEvent:   scope.Histogram("first_event_seconds", latencyBuckets),
+		inFlight:           scope.Gauge("requests_in_flight"),
+		configurationAge:   scope.Gauge("view_age_seconds"),
+		serversLeaving:     scope.Counter("servers_leaving"),
+		serverPauses:       scope.Counter("server_pauses"),
+		requestsWithheld:   scope.Counter("requests_withheld"),
+		otherRegionsListed: scope.Counter("directory_other_regions"),
+		serverConnections:  scope.Gauge("server_connections"),
 	}
 }
 
--- a/result/result.go
+++ b/result/result.go
@@ -101,6 +101,9 @@
 	// ServersPaused means that all backend servers which could run the request have asked for a
 	// pause.
 	ServersPaused = Code{2012, "servers-paused", 503, RanNo, RetryYes}
+	// RegionUnavailable means that no backend server can run the request in the regions in which
+	// it may be served.
+	RegionUnavailable = Code{2013, "region-unavailable", 503, RanNo, RetryYes}
 	// ServerLost means that no response of the backend server arrived, for example because
 	// the connection broke.
 	ServerLost = Code{3001, "server-lost", 502, RanMaybe, RetryIfIdempotent}
@@ -130,7 +133,7 @@
 		OK, Malformed, Unauthenticated, RankNotAllowed, UnknownModel, UnknownService,
 		BodyTooLarge, KeyRequired, KeyMalformed, KeyExpired, KeyReused, HeadTooLarge, RateLimited, TooManyInProgress,
 		QueueFull, DeadlineUnreachable, NoServer, Leaving, LogUnavailable, VersionNotLoaded,
-		NotReady, Preempted, CallerLeft, ServersPaused, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
+		NotReady, Preempted, CallerLeft, ServersPaused, RegionUnavailable, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
 		Quarantined, CrashedServers, Internal,
 	}
 }
--- a/roster/directory.go
+++ b/roster/directory.go
@@ -22,7 +22,9 @@
 
 // CallerAddresses returns the addresses of the entries that callers of an availability
 // zone may use, at most MaxCallerAddresses. This entry is among the candidates when
-// includeOwn is set.
+// includeOwn is set. If region is not empty, only entries of this region are returned, as long as
+// any of them is live and not leaving, even if it is unavailable. listsOthers is set if entries of
+// other regions are returned nevertheless.
 //
 // Callers choose an address at random and expect to find every entry in some response. If
 // all entries fit, all are returned. Otherwise the entries of the callers' zone are
@@ -31,7 +33,7 @@
 // entry of twice the cores is in about twice as many. If the entries of the callers' zone
 // alone do not fit, most of the response is chosen among them in the same way, and the rest
 // at random.
-func (r *Roster) CallerAddresses(now time.Time, zone string, includeOwn bool) []string {
+func (r *Roster) CallerAddresses(now time.Time, region, zone string, includeOwn bool) (addresses []string, listsOthers bool) {
 	var candidates []*peerEntry
 	if includeOwn {
 		candidates = append(candidates, r.self)
@@ -41,14 +43,44 @@
 			candidates = append(candidates, peer)
 		}
 	}
+	if region != "" {
+		if local := r.entriesOfRegion(now, candidates, region); len(local) > 0 {
+			candidates = local
+		} else {
+			listsOthers = len(candidates) > 0
+		}
+	}
 	if len(candidates) > MaxCallerAddresses {
 		candidates = selectForCallers(candidates, zone)
 	}
-	addresses := make([]string, 0, len(candidates))
+	addresses = make([]string, 0, len(candidates))
 	for _, candidate := range candidates {
 		addresses = append(addresses, candidate.CallerAddress)
 	}
-	return addresses
+	return addresses, listsOthers
+}
+
+// entriesOfRegion returns the candidates of a region or, if there are none, its entries that are live
+// and not leaving.
+func (r *Roster) entriesOfRegion(now time.Time, candidates []*peerEntry, region string) []*peerEntry {
+	var local []*peerEntry
+	for _, candidate := range candidates {
+		if candidate.Region == region {
+			local = append(local, candidate)
+		}
+	}
+	if len(local) > 0 {
+		return local
+	}
+	if r.self.Region == region && !r.self.Leaving {
+		local = append(local, r.self)
+	}
+	for _, peer := range r.sorted {
+		if peer.Region == region && peer.isLive(now) && !peer.Leaving {
+			local = append(local, peer)
+		}
+	}
+	return local
 }
 
 // selectForCallers returns MaxCallerAddresses of the candidates for callers of a zone.
--- a/roster/directory_test.go
+++ b/roster/directory_test.go
@@ -50,7 +50,7 @@
 			reportAll(now)
 			for caller := range responses {
 				if responses[caller] == nil || (elapsed+time.Duration(caller)*connectInterval)%ttl == 0 {
-					responses[caller] = r.CallerAddresses(now, fmt.Sprint("zone-", caller%size.zones), true)
+					responses[caller], _ = r.CallerAddresses(now, "", fmt.Sprint("zone-", caller%size.zones), true)
 					g.Expect(len(responses[caller])).To(gomega.BeNumerically("<=", roster.MaxCallerAddresses))
 				}
 				address := responses[caller][random.IntN(len(responses[caller]))]
@@ -76,3 +76,44 @@
 		g.Expect(ratio).To(gomega.BeNumerically(">", 0.95), "%v", size)
 	}
 }
+
+// TestCallersGetEntriesOfTheirRegion guards against sending callers to entries of other regions while
+// their own has one that is live and not leaving, and against an empty list when it has none.
+func TestCallersGetEntriesOfTheirRegion(t *testing.T) {
+	g := gomega.NewWithT(t)
+	// The region of an entry has the name of its availability zone.
+	r := roster.New(newEntry("own", "a"))
+	report(r, startTime, newEntry("far", "b"))
+	unavailable := newEntry("unavailable", "c")
+	unavailable.Unavailable = true
+	report(r, startTime, unavailable)
+	leaving := newEntry("leaving", "d")
+	leaving.Leaving = true
+	report(r, startTime, leaving)
+	report(r, startTime.Add(-roster.SilenceTimeout), newEntry("silent", "e"))
+	for _, test := range []struct {
+		region      string
+		includeOwn  bool
+		addresses   []string
+		listsOthers bool
+	}{
+		{"", true, []string{"own:2", "far:2"}, false},
+		{"a", true, []string{"own:2"}, false},
+		{"a", false, []string{"own:2"}, false},
+		{"b", true, []string{"far:2"}, false},
+		{"c", true, []string{"unavailable:2"}, false},
+		{"d", true, []string{"own:2", "far:2"}, true},
+		{"e", true, []string{"own:2", "far:2"}, true},
+		{"unknown", true, []string{"own:2", "far:2"}, true},
+	} {
+		addresses, listsOthers := r.CallerAddresses(startTime, test.region, test.region, test.includeOwn)
+		g.Expect(addresses).To(gomega.Equal(test.addresses), "%+v", test)
+		g.Expect(listsOthers).To(gomega.Equal(test.listsOthers), "%+v", test)
+	}
+	own := newEntry("own", "a")
+	own.Leaving = true
+	r.SetOwn(own)
+	addresses, listsOthers := r.CallerAddresses(startTime, "a", "a", false)
+	g.Expect(addresses).To(gomega.Equal([]string{"far:2"}))
+	g.Expect(listsOthers).To(gomega.BeTrue())
+}
--- a/roster/fuzz_test.go
+++ b/roster/fuzz_test.go
@@ -52,7 +52,8 @@
 				t.Fatal(err)
 			}
 		}
-		r.CallerAddresses(now, "z", true)
+		r.CallerAddresses(now, "", "z", true)
+		r.CallerAddresses(now, "r", "z", true)
 		r.RequestsElsewhere(now)
 	})
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -21,6 +21,12 @@
 	return r.ReceiveReport(now, &roster.Report{Entry: entry})
 }
 
+// callerAddresses returns the addresses for callers of the availability zone a, of all regions.
+func callerAddresses(r *roster.Roster, includeOwn bool) []string {
+	addresses, _ := r.CallerAddresses(startTime, "", "a", includeOwn)
+	return addresses
+}
+
 // TestCallersGetLiveEntries checks that callers are not given the address of an entry that
 // is silent, leaving or unavailable.
 func TestCallersGetLiveEntries(t *testing.T) {
@@ -35,8 +41,8 @@
 	unavailable := newEntry("unavailable", "a")
 	unavailable.Unavailable = true
 	report(r, startTime, unavailable)
-	g.Expect(r.CallerAddresses(startTime, "a", true)).To(gomega.Equal([]string{"own:2", "live:2"}))
-	g.Expect(r.CallerAddresses(startTime, "a", false)).To(gomega.Equal([]string{"live:2"}))
+	g.Expect(callerAddresses(r, true)).To(gomega.Equal([]string{"own:2", "live:2"}))
+	g.Expect(callerAddresses(r, false)).To(gomega.Equal([]string{"live:2"}))
 }
 
 // TestReportOfOldIncarnation checks that a late report of a process is ignored when a newer
@@ -51,7 +57,7 @@
 	old.Started, old.Leaving = 1, true
 	_, accepted := report(r, startTime, old)
 	g.Expect(accepted).To(gomega.BeFalse())
-	g.Expect(r.CallerAddresses(startTime, "a", false)).To(gomega.HaveLen(1))
+	g.Expect(callerAddresses(r, false)).To(gomega.HaveLen(1))
 	g.Expect(r.NewlySilent(startTime)).To(gomega.BeEmpty())
 	g.Expect(r.NewlySilent(startTime.Add(2 * time.Second))).To(gomega.HaveLen(1))
 }
--- a/schedule/availability.go
+++ b/schedule/availability.go
@@ -55,9 +55,16 @@
 		return
 	}
 	server.availability = state
-	svc := s.serviceFor(server.Service)
+	s.refuseQueued(now, s.serviceFor(server.Service), func(*Request) bool { return true })
+}
+
+// refuseQueued refuses those of the considered queued requests that no server will run in time.
+func (s *Scheduler) refuseQueued(now time.Time, svc *service, isConsidered func(*Request) bool) {
 	for i := len(svc.queue) - 1; i >= 0; i-- {
 		request := svc.queue[i]
+		if !isConsidered(request) {
+			continue
+		}
 		if refusal, refused := s.refuseWithoutServer(now, svc, request); refused {
 			s.Cancel(request)
 			request.OnDecision(refusal)
@@ -100,7 +107,7 @@
 		return pausedDecision(now, until), true
 	}
 	if !s.hasEligibleServer(now, svc, request) {
-		return Decision{Reason: NoServer, RetryAfter: svc.retryAfter(now, noServerRetryAfter)}, true
+		return Decision{Reason: request.noServerReason(), RetryAfter: svc.retryAfter(now, noServerRetryAfter)}, true
 	}
 	return Decision{}, false
 }
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+)
 
 // Request is a caller's request that an entry submits to its scheduler. The same Request
 // is submitted again for each further attempt.
@@ -31,6 +35,8 @@
 	// OutputTokens is the maximum number of tokens that the request asks the model to
 	// generate, 0 if unspecified.
 	OutputTokens int
+	// AllowedRegions are the regions in which the request may be served. Nil allows all.
+	AllowedRegions catalog.RegionSet
 	// TriedServers are the IDs of the servers that the request was already sent to.
 	TriedServers []string
 	// OnDecision is called with the final decision on a queued request, unless the request
@@ -87,6 +93,9 @@
 	// NoServer means that no server of the service can run the request, even when idle:
 	// each one is leaving, was replaced, has been tried or does not hold the model.
 	NoServer RefusalReason = "no-server"
+	// RegionUnavailable is NoServer for a request that may be served only in some regions: no server
+	// there can run it.
+	RegionUnavailable RefusalReason = "region-unavailable"
 	// Paused means that each server that could run the request has asked for a pause, which ends
 	// too late for the request.
 	Paused RefusalReason = "servers-paused"
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -147,6 +147,8 @@
 type Scheduler struct {
 	// zone is the availability zone of the entry.
 	zone string
+	// regions holds the region of each availability zone.
+	regions map[string]string
 	// keyOf returns the key of a server in the counts of SetRequestsElsewhere.
 	keyOf func(id string) uint32
 	// services holds the state of each service by its name, servers that of each server by
@@ -189,7 +191,7 @@
 
 // SetServers replaces the set of servers, indexed by ID. A server keeps its scheduling
 // state while its incarnation is the same. Queued requests are assigned to the new servers
-// as far as these have capacity.
+// as far as these have capacity, and refused if no server is left in their regions.
 func (s *Scheduler) SetServers(now time.Time, servers map[string]*catalog.Server) {
 	for _, svc := range s.services {
 		svc.servers = svc.servers[:0]
@@ -210,6 +212,7 @@
 			s.servers[id] = existing
 		}
 		existing.Server = updated
+		s.locate(existing)
 		existing.availability = s.availability.Find(existing.Incarnation())
 		svc := s.serviceFor(updated.Service)
 		svc.servers = append(svc.servers, existing)
@@ -219,6 +222,7 @@
 		s.assignPreferredServers(svc)
 		s.renewBorrowable(now, svc)
 		s.dispatchQueued(now, svc)
+		s.refuseQueued(now, svc, (*Request).isRestricted)
 	}
 }
 
@@ -336,9 +340,12 @@
 		request.queueDeadline = latestDispatch
 	}
 	if refusal, refused := s.refuseWithoutServer(now, svc, request); refused {
+		if countsForShare && refusal.Reason == RegionUnavailable {
+			rank.served.discountRequest()
+		}
 		return refusal
 	}
-	wait := svc.expectedWait(now, request)
+	wait := svc.waitInRegions(request, svc.expectedWait(now, request))
 	if now.Add(wait).After(request.queueDeadline) {
 		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, wait)}
 	}
--- a/schedule/share.go
+++ b/schedule/share.go
@@ -64,6 +64,10 @@
 	s.requested++
 }
 
+// discountRequest takes back a request that was just counted, because its refusal says nothing about
+// the load.
+func (s *servedShare) discountRequest() { s.requested-- }
+
 // countDispatch counts a request that was sent to a server.
 func (s *servedShare) countDispatch(now time.Time) {
 	s.decay(now)
--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -61,10 +61,14 @@
 	stopGrace        time.Duration
 	// maxKeptConnections is that of the ingresses that are started from now on.
 	maxKeptConnections int
-	log                *zap.Logger
-	llmServers         []*backendserver.Server
-	plainServers       []*backendserver.Server
-	client             *http.Client
+	// regions, region, zone and directoryAddress are those of the ingresses that are started from
+	// now on, which are in region r and availability zone z by default.
+	regions                        map[string]string
+	region, zone, directoryAddress string
+	log                            *zap.Logger
+	llmServers                     []*backendserver.Server
+	plainServers                   []*backendserver.Server
+	client                         *http.Client
 }
 
 // lowestPort is the port of the first address that allocateAddress returns. It is below the
@@ -99,6 +103,7 @@
 	f := &testFleet{
 		t: t, store: store, callerAddress: allocateAddress(), readinessAddress: allocateAddress(),
 		peerAddress: allocateAddress(), stopGrace: stopGrace, log: zap.NewNop(), client: &http.Client{Timeout: waitTimeout},
+		region: "r", zone: "z",
 	}
 	f.publishConfiguration(1, "k1", "k2")
 	for i := range 2 {
@@ -120,7 +125,7 @@
 // daemons at the addresses.
 func (f *testFleet) newIngress(name, callerAddress, readinessAddress, peerAddress string) *ingress.Ingress {
 	started, err := ingress.New(ingress.Settings{
-		Name: name, AvailabilityZone: "z", Region: "r", CallerAddress: callerAddress, ReadinessAddress: readinessAddress, PeerAddress: peerAddress,
+		Name: name, AvailabilityZone: f.zone, Region: f.region, Regions: f.regions, DirectoryAddress: f.directoryAddress, CallerAddress: callerAddress, ReadinessAddress: readinessAddress, PeerAddress: peerAddress,
 		KeyRevocation: 5 * time.Second, StopGrace: f.stopGrace, VersionDeadline: 8 * time.Second,
 		DirectoryTTL: 5 * time.Second, ResendRatio: 0.2, ResendAllowance: 100, ResendWindow: 10 * time.Second,
 		MaxKeptConnections: f.maxKeptConnections,
