mirror, schedule, ingress: send nothing to evacuated availability zones

Cause: operators evacuate a zone with a record evacuate/ZONE, which was ignored. Change: the mirror keeps the evacuated zones in its view, before a configuration of the same read. The scheduler selects no server there, assigns or refuses queued requests at a change, leaves the servers out where it counts capacity, and distributes those of other zones among the entries of an evacuated one. The ingress checks again before it writes and doesn't probe there for a crash. Engines there load first, the turns of others leave them out.

--- a/catalog/view.go
+++ b/catalog/view.go
@@ -72,6 +72,30 @@
 	Servers map[string]*Server
 	// DeclaredVersions holds the newest declared weight version of each model.
 	DeclaredVersions map[string]DeclaredVersion
+	// EvacuatedZones holds the availability zones whose servers must get no further requests. All
+	// its values are true.
+	EvacuatedZones map[string]bool
+}
+
+// WithEvacuatedZones returns the view with the given zones evacuated or not, by name.
+func (v *View) WithEvacuatedZones(changes map[string]bool) *View {
+	zones := maps.Clone(v.EvacuatedZones)
+	for zone, isEvacuated := range changes {
+		switch {
+		case !isEvacuated:
+			delete(zones, zone)
+		case zones == nil:
+			zones = map[string]bool{zone: true}
+		default:
+			zones[zone] = true
+		}
+	}
+	if maps.Equal(zones, v.EvacuatedZones) {
+		return v
+	}
+	next := *v
+	next.EvacuatedZones = zones
+	return &next
 }
 
 // WithConfiguration returns the view with the configuration, unless the view has
--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -63,7 +63,8 @@
 			CallerAddress: node.CallerAddress, ReadinessAddress: node.ReadinessAddress, DirectoryAddress: node.DirectoryAddress,
 			PeerAddress:   node.PeerAddress(node.IP, ingressPortIndex),
 			KeyRevocation: node.KeyRevocation, StopGrace: node.StopGrace, VersionDeadline: node.VersionDeadline,
-			DirectoryTTL: node.DirectoryTTL, LinkBytesPerSecond: node.LinkBytesPerSecond, Cores: node.Cores, ResendRatio: node.ResendRatio, ResendAllowance: node.ResendAllowance,
+			EvacuationBound: node.EvacuationBound,
+			DirectoryTTL:    node.DirectoryTTL, LinkBytesPerSecond: node.LinkBytesPerSecond, Cores: node.Cores, ResendRatio: node.ResendRatio, ResendAllowance: node.ResendAllowance,
 			ResendWindow: node.ResendWindow,
 		}, platform.Dialect{}, platform.NewRegistry(node.RegistryAddress),
 			ingress.Handlers{Directory: platform.DirectoryHandler, Readiness: platform.ReadinessHandler}, log, metrics)
--- a/ingress/crash.go
+++ b/ingress/crash.go
@@ -75,10 +75,14 @@
 // probeForCrash checks whether the server of a failed attempt has crashed, which is the
 // case if its address refuses connections, and then records a strike for the request. A
 // lost response alone is no evidence of a crash. The parts of the prompt are suspected as
-// well, unless the server had written the answer for a while.
+// well, unless the server had written the answer for a while. A server in an evacuated availability
+// zone is not probed: nothing more is to be sent there, and it may have been stopped on purpose.
 func (i *Ingress) probeForCrash(server *catalog.Server, r crashSuspect) {
 	failed := time.Now()
 	time.Sleep(crashProbeDelay)
+	if i.mirror.View().EvacuatedZones[server.AvailabilityZone] {
+		return
+	}
 	conn, err := tcp.Dial(server.Address, crashProbeTimeout)
 	if err == nil {
 		_ = conn.Close()
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -111,6 +111,9 @@
 	// VersionDeadline is the time after the declaration of a model version from which no
 	// request may begin on an older one.
 	VersionDeadline time.Duration
+	// EvacuationBound is the time after the evacuation of an availability zone after which its
+	// servers must get no requests.
+	EvacuationBound time.Duration
 	// DirectoryTTL is how long callers may cache the directory.
 	DirectoryTTL time.Duration
 	// LinkBytesPerSecond is the network bandwidth of the VM. Of the entries of an
@@ -253,7 +256,7 @@
 	i.unanswered, i.endUnanswered = context.WithCancelCause(i.lifetime)
 	time.AfterFunc(rosterWait, func() { close(i.rosterWaitOver) })
 	i.roster = roster.New(i.selfEntry())
-	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{RelayWait: relayPollWait}, log, i.applyView)
+	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{RelayWait: relayPollWait, EvacuationBound: settings.EvacuationBound}, log, i.applyView)
 	if err := i.listen(handlers, metrics); err != nil {
 		i.mirror.Close()
 		return nil, err
@@ -350,8 +353,10 @@
 // versions.
 func (i *Ingress) applyView(view *catalog.View) {
 	i.reportUnknownRegions(view.Configuration)
+	i.reportUnknownZones(view)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.scheduler.SetEvacuatedZones(time.Now(), view.EvacuatedZones)
 	i.scheduler.SetServers(time.Now(), view.Servers)
 	for model, target := range view.DeclaredVersions {
 		declared := i.declaredVersions[model]
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -70,10 +70,12 @@
 	configurationAge tally.Gauge
 	// serversLeaving counts the servers that have told this entry that they leave, serverPauses the
 	// pauses that servers have asked it for, and requestsWithheld the requests that were not sent
-	// to a selected server for either reason.
+	// to a selected server for either reason, or because it may no longer get them where it is.
 	serversLeaving   tally.Counter
 	serverPauses     tally.Counter
 	requestsWithheld tally.Counter
+	// evacuatedZones is the number of evacuated availability zones.
+	evacuatedZones tally.Gauge
 	// otherRegionsListed counts the responses of the directory that list entries of other regions
 	// than the caller's although some requests may be served only in some regions.
 	otherRegionsListed tally.Counter
@@ -92,6 +94,7 @@
 		serversLeaving:     scope.Counter("servers_leaving"),
 		serverPauses:       scope.Counter("server_pauses"),
 		requestsWithheld:   scope.Counter("requests_withheld"),
+		evacuatedZones:     scope.Gauge("evacuated_zones"),
 		otherRegionsListed: scope.Counter("directory_other_regions"),
 		serverConnections:  scope.Gauge("server_connections"),
 	}
@@ -113,6 +116,7 @@
 func (c *requestMetrics) updateGauges(i *Ingress) {
 	c.inFlight.Update(float64(i.inFlight.Load()))
 	c.configurationAge.Update(i.mirror.OperatorAge().Seconds())
+	c.evacuatedZones.Update(float64(len(i.mirror.View().EvacuatedZones)))
 	c.serverConnections.Update(float64(i.upstream.OpenConnections()))
 }
 
--- a/ingress/regions.go
+++ b/ingress/regions.go
@@ -75,3 +75,25 @@
 		i.log.Warn("unknown regions in the configuration", zap.Strings("regions", unknown), zap.Int64("version", configuration.Version))
 	}
 }
+
+// reportUnknownZones logs, once for each name, the evacuated availability zones of a new view that
+// are not in the settings and have no server. Their evacuation has no effect.
+func (i *Ingress) reportUnknownZones(view *catalog.View) {
+	if len(view.EvacuatedZones) == 0 || len(view.Servers) == 0 {
+		return
+	}
+	known := maps.Clone(i.settings.Regions)
+	if known == nil {
+		known = map[string]string{}
+	}
+	for _, server := range view.Servers {
+		known[server.AvailabilityZone] = ""
+	}
+	unknown := slices.DeleteFunc(slices.Sorted(maps.Keys(view.EvacuatedZones)), func(zone string) bool {
+		_, isKnown := known[zone]
+		return isKnown
+	})
+	if unknown = i.unknownNames.addNew("zone", unknown); len(unknown) > 0 {
+		i.log.Warn("unknown zones evacuated", zap.Strings("zones", unknown))
+	}
+}
--- a/loader/converge.go
+++ b/loader/converge.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -305,7 +304,7 @@
 }
 
 // waitForLoadTurn waits until this engine may load. The engines of a service load at
-// times that are spread, in the order of loadPosition, over a window before the version
+// times that are spread, in the order of supply.LoadTurn, over a window before the version
 // deadline. An engine without a version loads immediately. waitForLoadTurn returns true,
 // and the version must not be loaded, if all pieces of a newer version arrived during the
 // wait. While it waits, it announces the time of the load to the entries.
@@ -320,7 +319,7 @@
 		if !ok {
 			return false, nil
 		}
-		position, count := l.loadPosition(l.mirror.View())
+		position, count := supply.LoadTurn(l.mirror.View(), l.settings.Service, l.settings.EngineAddress)
 		timeToDeadline := float64(l.settings.VersionDeadline)
 		windowStart := max(deadline-time.Duration(timeToDeadline*(1-loadWindowStart)), waitStart)
 		windowEnd := deadline - time.Duration(timeToDeadline*(1-loadWindowEnd))
@@ -357,25 +356,6 @@
 	}
 }
 
-// loadPosition returns the zero-based position of this engine in the order in which the
-// engines of its service load, which is the order of their server ids, and the number of
-// these engines. The position is 0 while this engine is not registered.
-func (l *Loader) loadPosition(view *catalog.View) (position, count int) {
-	var ids []string
-	self := ""
-	for id, server := range view.Servers {
-		if server.Service != l.settings.Service {
-			continue
-		}
-		ids = append(ids, id)
-		if server.Address == l.settings.EngineAddress {
-			self = id
-		}
-	}
-	slices.Sort(ids)
-	return max(slices.Index(ids, self), 0), len(ids)
-}
-
 // versionDeadline returns the boot time after which no request may start on the version
 // that the engine holds. It returns false if no newer version is declared.
 func (l *Loader) versionDeadline(model string, held int) (time.Duration, bool) {
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -32,6 +32,8 @@
 	// A version may have been known before the read, so its date may be earlier than what
 	// recordWrittenAt returns.
 	declaredAt map[string]time.Duration
+	// restoredAt is as in the topicFollower.
+	restoredAt time.Duration
 	// relayDelay is how long failed reads through other daemons have taken since the copy was
 	// confirmed, 0 if a source has shown since that the registry does not answer.
 	relayDelay time.Duration
@@ -198,6 +200,7 @@
 	if batch.receivedAt < f.restoredAt+restorationGrace {
 		f.mirror.keepNewer(f.topic, &batch)
 	}
+	batch.restoredAt = f.restoredAt
 	f.apply(batch)
 	f.mirror.raiseEpoch(batch.Epoch)
 	// The records are stored before the confirmation: readers take the age of the copy
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -109,6 +109,9 @@
 	mu       sync.Mutex
 	onChange func(*catalog.View)
 
+	// evacuations is used by the loop of the operator's topic only.
+	evacuations evacuations
+
 	// copies holds the records for the daemons that read the topics through this one.
 	copies topicCopies
 
@@ -130,6 +133,9 @@
 	// RelayWait is how long a read of another daemon's copy waits for new records. When it
 	// is 0, such reads use OperatorWait and ServersInterval, as reads of the registry do.
 	RelayWait time.Duration
+	// EvacuationBound is the time after the evacuation of an availability zone after which its
+	// servers must get no requests.
+	EvacuationBound time.Duration
 	// Clock is the clock that ages are measured with. It must also run while the VM is
 	// suspended.
 	Clock func() time.Duration
@@ -148,6 +154,7 @@
 		settings.Clock = boottime.Now
 	}
 	m := &Mirror{registry: registry, sources: sources, settings: settings, log: log, onChange: onChange, closing: make(chan struct{})}
+	m.evacuations = newEvacuations(settings.EvacuationBound)
 	m.view.Store(&catalog.View{})
 	m.operatorConfirmedAt.Store(int64(-time.Hour))
 	m.serversConfirmedAt.Store(int64(-time.Hour))
@@ -236,10 +243,19 @@
 	m.onChange(after)
 }
 
-// applyOperatorRecords updates the view with the configurations and the declarations of
-// weight versions in a read of the operator's topic. Those that are no newer than the ones
-// in the view do not change it. Records that cannot be decoded are logged and skipped.
+// operatorRecord is a record of the operator's topic with its content.
+type operatorRecord struct {
+	fuchsiarouter.KeyedRecord
+	change fuchsiarouter.OperatorChange
+}
+
+// applyOperatorRecords updates the view with the configurations, the declarations of
+// weight versions and the evacuations in a read of the operator's topic. Configurations and versions
+// that are no newer than the ones in the view do not change it. Records that cannot be decoded are
+// logged and skipped. Evacuations come first, so that no view has a configuration without those that
+// were read with it.
 func (m *Mirror) applyOperatorRecords(read topicBatch) {
+	records := make([]operatorRecord, 0, len(read.Records))
 	for _, record := range read.Records {
 		change, err := m.registry.DecodeOperatorChange(record)
 		if err != nil {
@@ -247,11 +263,16 @@
 				zap.Int64("offset", record.Offset), telemetry.Cause(err))
 			continue
 		}
+		records = append(records, operatorRecord{record, change})
+	}
+	m.applyEvacuations(read, records)
+	for _, record := range records {
+		change := record.change
 		if change.Configuration != nil {
 			m.updateView(func(view *catalog.View) *catalog.View { return view.WithConfiguration(change.Configuration) })
 		}
 		if change.Model != "" {
-			for _, declared := range m.declarations(read, record, change) {
+			for _, declared := range m.declarations(read, record.KeyedRecord, change) {
 				m.updateView(func(view *catalog.View) *catalog.View { return view.WithDeclaredVersion(change.Model, declared) })
 			}
 		}
--- a/mirror/mirror_test.go
+++ b/mirror/mirror_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -120,6 +121,9 @@
 		err := json.Unmarshal(record.Value, &version)
 		return fuchsiarouter.OperatorChange{Configuration: catalog.NewConfiguration(version, catalog.Limits{})}, err
 	}
+	if zone, isEvacuation := strings.CutPrefix(record.Key, "evacuate/"); isEvacuation {
+		return fuchsiarouter.OperatorChange{EvacuatedZone: zone, Evacuated: len(record.Value) > 0}, nil
+	}
 	var version int
 	err := json.Unmarshal(record.Value, &version)
 	return fuchsiarouter.OperatorChange{Model: record.Key, Version: version}, err
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -42,7 +42,8 @@
 // the state of the backup, or to one that is written again: a record that is older than the one
 // in the copy is replaced by that one, the record of a key that was removed since it was written
 // is left out, and the operator's records that a complete read lacks are added. Servers that are
-// missing are left to serverRegistrations.
+// missing are left to serverRegistrations, and evacuations that were withdrawn to applyEvacuations,
+// since all their records are equal.
 func (m *Mirror) keepNewer(topic fuchsiarouter.Topic, read *topicBatch) {
 	m.copies.mu.Lock()
 	defer m.copies.mu.Unlock()
@@ -59,7 +60,7 @@
 			known = removed.KeyedRecord
 		}
 		isOlder := m.precedes(topic, record, known)
-		if isRemoved && !removed.missing && (isOlder || bytes.Equal(record.Value, known.Value)) {
+		if isRemoved && !removed.missing && (isOlder || bytes.Equal(record.Value, known.Value)) && !m.isEvacuation(topic, record) {
 			continue
 		}
 		if isOlder {
--- a/registry.go
+++ b/registry.go
@@ -12,7 +12,8 @@
 
 // The topics.
 const (
-	// TopicOperator holds the configuration and the declared weight versions.
+	// TopicOperator holds the configuration, the declared weight versions and the evacuated
+	// availability zones.
 	TopicOperator Topic = iota
 	// TopicServers holds the registrations of backend servers.
 	TopicServers
@@ -62,15 +63,19 @@
 	Records  []KeyedRecord
 }
 
-// OperatorChange is the decoded content of one record of TopicOperator: either a
-// configuration, or the declared version of a model. All fields are empty if the key is
-// unknown to this project.
+// OperatorChange is the decoded content of one record of TopicOperator: a configuration, the
+// declared version of a model, or the evacuation of an availability zone or its end. All fields are
+// empty if the key is unknown to this project.
 type OperatorChange struct {
 	Configuration *catalog.Configuration
 	// Model is the name of a model, and Version the number of the version of its weights
 	// that the servers of the model have to load.
 	Model   string
 	Version int
+	// EvacuatedZone is the name of an availability zone. If Evacuated is set, its servers must get
+	// no further requests; otherwise the record is removed, and they get requests again.
+	EvacuatedZone string
+	Evacuated     bool
 }
 
 // TopicReader reads topics, either from the platform or through a relaying daemon.
--- a/schedule/regions.go
+++ b/schedule/regions.go
@@ -13,11 +13,12 @@
 // locate sets what follows from the availability zone of a server.
 func (s *Scheduler) locate(server *server) {
 	server.region = s.regions[server.AvailabilityZone]
+	server.evacuated = s.evacuatedZones[server.AvailabilityZone]
 }
 
 // AllowsZone reports whether a request may be sent to servers of an availability zone.
 func (s *Scheduler) AllowsZone(request *Request, zone string) bool {
-	return request.AllowedRegions.Allows(s.regions[zone])
+	return !s.evacuatedZones[zone] && request.AllowedRegions.Allows(s.regions[zone])
 }
 
 // isRestricted reports whether the request may be served only in some regions.
@@ -41,7 +42,7 @@
 	}
 	slots, allowedSlots := 0, 0
 	for _, candidate := range s.servers {
-		if candidate.isLeaving() || candidate.replaced {
+		if candidate.isLeaving() || candidate.replaced || candidate.evacuated {
 			continue
 		}
 		slots += max(candidate.Slots, 1)
--- a/schedule/regions_test.go
+++ b/schedule/regions_test.go
@@ -119,6 +119,9 @@
 	g.Expect(s.Submit(start, newRequest(1, start)).Queued).To(gomega.BeTrue())
 	g.Expect(s.Submit(start, restrictedRequest(1, start, "r1")).Queued).To(gomega.BeTrue())
 	g.Expect(s.Submit(start, restrictedRequest(1, start, "r2")).Reason).To(gomega.Equal(schedule.Overloaded))
+	// While z1 is evacuated, all requests complete in r2.
+	s.SetEvacuatedZones(start, map[string]bool{"z1": true})
+	g.Expect(s.Submit(start, restrictedRequest(1, start, "r2")).Queued).To(gomega.BeTrue())
 }
 
 // TestRegionRefusalsAreNoOverload guards against taking slots from late requests while only requests
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -149,6 +149,8 @@
 	zone string
 	// regions holds the region of each availability zone.
 	regions map[string]string
+	// evacuatedZones holds the availability zones whose servers get no requests.
+	evacuatedZones map[string]bool
 	// keyOf returns the key of a server in the counts of SetRequestsElsewhere.
 	keyOf func(id string) uint32
 	// services holds the state of each service by its name, servers that of each server by
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -34,17 +34,18 @@
 // assignPreferredServers marks the servers of a service that this entry prefers. It
 // distributes the servers of the availability zone round-robin among the entries of the
 // zone. With fewer servers than entries, several entries prefer the same server. Without any
-// server in the zone, all servers are preferred.
+// server in the zone, all servers are preferred. If the zone is evacuated, its entries distribute
+// the usable servers of the other zones instead.
 func (s *Scheduler) assignPreferredServers(svc *service) {
-	count := 0
+	count, isCandidate := 0, s.preferenceFilter(svc)
 	for _, server := range svc.servers {
-		if server.AvailabilityZone == s.zone {
+		if isCandidate(server) {
 			count++
 		}
 	}
 	index := 0
 	for _, server := range svc.servers {
-		if server.AvailabilityZone != s.zone {
+		if !isCandidate(server) {
 			server.preferred = count == 0
 			continue
 		}
@@ -62,7 +63,7 @@
 	}
 	local, remote := 0, 0
 	for _, server := range svc.servers {
-		if server.preferred || server.isLeaving() || server.availability.IsPaused(now) || now.Before(server.suspendedUntil) {
+		if server.preferred || server.isLeaving() || server.evacuated || server.availability.IsPaused(now) || now.Before(server.suspendedUntil) {
 			continue
 		}
 		free := max(server.Slots-server.inFlight(), 0)
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -15,6 +15,8 @@
 	*catalog.Server
 	// region is the region of the server, empty if it is not known.
 	region string
+	// evacuated is set while the availability zone of the server is evacuated.
+	evacuated bool
 	// localRequests is the number of requests of this entry in flight at the server.
 	localRequests int
 	// preferred is set if this entry prefers the server over others with a similar load;
@@ -49,7 +51,7 @@
 }
 
 // isEligible reports whether the server may run the request, regardless of its load: it
-// is not leaving or replaced, it is in an allowed region, the request was not sent to it before, and
+// is not leaving, replaced or evacuated, it is in an allowed region, the request was not sent to it before, and
 // it holds at least the given version of the request's model, if the request has one.
 func (s *server) isEligible(now time.Time, request *Request, version int) bool {
 	return s.canRun(now, request, version) && !slices.Contains(request.TriedServers, s.ID)
@@ -57,7 +59,7 @@
 
 // canRun is isEligible for a server that the request may have been sent to before.
 func (s *server) canRun(now time.Time, request *Request, version int) bool {
-	if s.isLeaving() || s.replaced || !request.AllowedRegions.Allows(s.region) {
+	if s.isLeaving() || s.replaced || s.evacuated || !request.AllowedRegions.Allows(s.region) {
 		return false
 	}
 	if request.Model == "" {
--- a/schedule/service.go
+++ b/schedule/service.go
@@ -140,7 +140,7 @@
 // allSlotsInUse reports whether all slots of all servers are in use that take requests.
 func (s *service) allSlotsInUse(now time.Time) bool {
 	for _, candidate := range s.servers {
-		if !candidate.isLeaving() && !candidate.availability.IsPaused(now) && candidate.inFlight() < max(candidate.Slots, 1) {
+		if !candidate.isLeaving() && !candidate.evacuated && !candidate.availability.IsPaused(now) && candidate.inFlight() < max(candidate.Slots, 1) {
 			return false
 		}
 	}
