standin/platformtest: check that requests are withheld from evacuated zones

Cause: no test showed that the ingress checks the zone again after it has opened a connection. Change: a server accepts a connection only after its zone was evacuated; no byte of the request may reach it.

--- a/standin/platformtest/evacuation_test.go
+++ b/standin/platformtest/evacuation_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -167,3 +168,47 @@
 		})
 	}
 }
+
+// TestRequestIsWithheldFromEvacuatedZone guards against writing a request on a connection to a server
+// whose zone was evacuated while the connection was opened.
+func TestRequestIsWithheldFromEvacuatedZone(t *testing.T) {
+	g := gomega.NewWithT(t)
+	f := startFleet(t)
+	f.removeServers(f.plainServers)
+	// A socket that accepts none leaves a connection unanswered once its queue is full. The system
+	// tries again after 1 s.
+	address, err := net.ResolveTCPAddr("tcp4", allocateAddress())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	socket, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = syscall.Close(socket) })
+	timeout := syscall.NsecToTimeval(waitTimeout.Nanoseconds())
+	g.Expect(syscall.SetsockoptTimeval(socket, syscall.SOL_SOCKET, syscall.SO_RCVTIMEO, &timeout)).To(gomega.Succeed())
+	g.Expect(syscall.Bind(socket, &syscall.SockaddrInet4{Port: address.Port, Addr: [4]byte(address.IP.To4())})).To(gomega.Succeed())
+	g.Expect(syscall.Listen(socket, 0)).To(gomega.Succeed())
+	first, err := net.Dial("tcp4", address.String())
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = first.Close() })
+	f.registerScriptedServer("s0", "plain", address.String())
+	awaitRegistrations()
+	ended := make(chan string, 1)
+	go func() {
+		_, _, header, _ := f.send("POST", "/order/x", "k1", "")
+		ended <- header.Get("Fuchsiarouter-Result")
+	}()
+	time.Sleep(100 * time.Millisecond)
+	f.store.Put(keyedstore.TopicOperator, "evacuate/z", "{}")
+	time.Sleep(600 * time.Millisecond)
+	accept := func() int {
+		conn, _, err := syscall.Accept(socket)
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		t.Cleanup(func() { _ = syscall.Close(conn) })
+		return conn
+	}
+	accept()
+	g.Eventually(ended, waitTimeout).Should(gomega.Receive(gomega.Equal("2005 no-server")))
+	received := make([]byte, 1)
+	n, _, err := syscall.Recvfrom(accept(), received, 0)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(n).To(gomega.BeZero(), "the connection is closed without a byte of the request")
+}
