platform: decode cold times, rates and bounds

Cause: coldRemainingMs was required but not used, and coldS, coldPerS, X-Cold-Ms and the two bounds were not read.

Change: they are decoded into catalog.Server, catalog.Service, ResponseHead and NodeSettings. Negative values count as 0, values beyond a minute or a million a second as that, also if they exceed a float64; both are marked as malformed. Text in place of a number makes a record invalid, as in other fields.

--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -143,6 +143,12 @@
 	OriginAddress string
 	// AvailabilityZone is the availability zone of the origin.
 	AvailabilityZone string
+	// ColdTime is how long a backend server is cold after its start, and ColdRate the rate in
+	// requests per second that it can run meanwhile. A service with a ColdRate of 0 has no cold
+	// servers. ColdMalformed reports that the configuration has other values, outside the range.
+	ColdTime      time.Duration
+	ColdRate      float64
+	ColdMalformed bool
 }
 
 // Limits restrict what a caller may send. A size of 0 means no limit.
--- a/catalog/view.go
+++ b/catalog/view.go
@@ -25,6 +25,11 @@
 	Slots int
 	// Draining is set when the server must get no new requests.
 	Draining bool
+	// ColdFor is how much longer the server stays cold from the time at which it wrote this
+	// registration, 0 if it is not cold. ColdMalformed reports that the registration has another
+	// value, outside the range.
+	ColdFor       time.Duration
+	ColdMalformed bool
 	// Versions are the weight versions that the server has loaded completely, by model.
 	Versions map[string]int
 }
--- a/dialect.go
+++ b/dialect.go
@@ -77,6 +77,10 @@
 	Pause          time.Duration
 	PauseText      string
 	PauseMalformed bool
+	// ColdFor is for how long the server stays cold, 0 if it doesn't say so. ColdMalformed
+	// reports that it is not a number within the range.
+	ColdFor       time.Duration
+	ColdMalformed bool
 	// Running, Waiting and Slots are the load of the server in requests: those that it
 	// runs, those that wait there, and the maximum that it runs at the same time. They
 	// are valid if HasLoad is set.
