schedule, ingress: limit requests to cold servers

Cause: a cold server got the same load as any other one.

Change: selectServer leaves out a cold server whose limit is used up, like a full one. Both places that dispatch a request reserve it, so first attempts, further ones, hedges, resumptions and queued requests count, and the ingress asks again right before a request is written. The ingress passes the known entries of each zone with each status update, logs servers that are found cold, and counts those left out. Without a service with a cold rate there is no limiter.

--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"github.com/fuchsiarouter/fuchsiarouter/cold"
 	"github.com/fuchsiarouter/fuchsiarouter/ingress"
 	"github.com/fuchsiarouter/fuchsiarouter/loader"
 	"github.com/fuchsiarouter/fuchsiarouter/platform"
@@ -64,7 +65,7 @@
 			PeerAddress:   node.PeerAddress(node.IP, ingressPortIndex),
 			KeyRevocation: node.KeyRevocation, StopGrace: node.StopGrace, VersionDeadline: node.VersionDeadline,
 			DirectoryTTL: node.DirectoryTTL, LinkBytesPerSecond: node.LinkBytesPerSecond, Cores: node.Cores, ResendRatio: node.ResendRatio, ResendAllowance: node.ResendAllowance,
-			ResendWindow: node.ResendWindow,
+			ResendWindow: node.ResendWindow, ColdBound: cold.Bound{Excess: node.ColdExcess, Slack: node.ColdSlack},
 		}, platform.Dialect{}, platform.NewRegistry(node.RegistryAddress),
 			ingress.Handlers{Directory: platform.DirectoryHandler, Readiness: platform.ReadinessHandler}, log, metrics)
 	})
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -259,10 +259,12 @@
 		position: r.position, promptParts: r.PromptParts,
 	}
 	i.stallDetector.add(sentAt, r.activeAttempt)
+	var sending schedule.Sending
 	httpResponse, err := i.upstream.Send(ctx, exchange.Target{Address: server.Address, ID: server.ID, Incarnation: server.Started},
 		text, r.deadline, func(header *fasthttp.ResponseHeader) exchange.Match {
 			reply := i.dialect.ParseResponse(header, r.AttemptID)
 			i.recordAvailability(r, server, reply)
+			i.recordCold(server, reply)
 			switch {
 			case reply.MatchesRequest:
 				return exchange.Belongs
@@ -270,7 +272,8 @@
 				return exchange.Unidentified
 			}
 			return exchange.Other
-		}, func() bool { return i.stillTakes(server) })
+		}, func() bool { return i.stillTakes(server) && i.beginSending(server, &sending) })
+	i.endSending(sending)
 	if err != nil {
 		return nil, err
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -32,6 +32,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+	"github.com/fuchsiarouter/fuchsiarouter/cold"
 	"github.com/fuchsiarouter/fuchsiarouter/exchange"
 	"github.com/fuchsiarouter/fuchsiarouter/mirror"
 	"github.com/fuchsiarouter/fuchsiarouter/quarantine"
@@ -123,6 +124,8 @@
 	ResendRatio     float64
 	ResendAllowance float64
 	ResendWindow    time.Duration
+	// ColdBound bounds the requests to a cold server.
+	ColdBound cold.Bound
 	// MaxKeptConnections is the number of open connections of callers above which connections are
 	// closed after a response. With 0, it follows from the descriptors of the process.
 	MaxKeptConnections int
@@ -163,6 +166,8 @@
 	resendBudgets map[string]*resendBudget
 	// roster holds the other entries.
 	roster *roster.Roster
+	// rosterKnown is set once the registered entries were read.
+	rosterKnown bool
 	// declaredVersions holds the declared versions of each model, oldest first.
 	declaredVersions map[string][]catalog.DeclaredVersion
 
@@ -210,6 +215,8 @@
 	requestsEndedByStop atomic.Int64
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
+	// coldMalformed is set after the first cold time outside the range.
+	coldMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
 	inFlight atomic.Int64
 	// httpServers holds all HTTP servers that were started. One of them is callerServer,
@@ -345,6 +352,7 @@
 func (i *Ingress) applyView(view *catalog.View) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.applyColdServices(view)
 	i.scheduler.SetServers(time.Now(), view.Servers)
 	for model, target := range view.DeclaredVersions {
 		declared := i.declaredVersions[model]
@@ -370,7 +378,9 @@
 			i.mu.Lock()
 			i.enforceVersionDeadlines()
 			i.scheduler.Tick(now)
+			coldEvents := i.scheduler.TakeColdEvents()
 			i.mu.Unlock()
+			i.logColdEvents(coldEvents)
 			i.checkStalls(now)
 			if now.Sub(lastSweep) > time.Second {
 				lastSweep = now
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -74,6 +74,12 @@
 	serversLeaving   tally.Counter
 	serverPauses     tally.Counter
 	requestsWithheld tally.Counter
+	// coldServers is the number of servers that are cold or in their slow start, and coldWithheld
+	// counts how often one was left out because of its limit. coldWithheldSeen is the count that
+	// coldWithheld has.
+	coldServers      tally.Gauge
+	coldWithheld     tally.Counter
+	coldWithheldSeen uint64
 	// serverConnections is the number of open connections to backend servers.
 	serverConnections tally.Gauge
 }
@@ -89,6 +95,8 @@
 		serversLeaving:    scope.Counter("servers_leaving"),
 		serverPauses:      scope.Counter("server_pauses"),
 		requestsWithheld:  scope.Counter("requests_withheld"),
+		coldServers:       scope.Gauge("servers_cold"),
+		coldWithheld:      scope.Counter("cold_withheld"),
 		serverConnections: scope.Gauge("server_connections"),
 	}
 }
@@ -110,6 +118,12 @@
 	c.inFlight.Update(float64(i.inFlight.Load()))
 	c.configurationAge.Update(i.mirror.OperatorAge().Seconds())
 	c.serverConnections.Update(float64(i.upstream.OpenConnections()))
+	i.mu.Lock()
+	coldServers, coldWithheld := i.scheduler.ColdServers(), i.scheduler.ColdWithheld()
+	i.mu.Unlock()
+	c.coldServers.Update(float64(coldServers))
+	c.coldWithheld.Inc(int64(coldWithheld - c.coldWithheldSeen))
+	c.coldWithheldSeen = coldWithheld
 }
 
 // peerHandler returns the HTTP handler for other daemons: records serves their reads of
--- a/ingress/status.go
+++ b/ingress/status.go
@@ -59,6 +59,7 @@
 			i.mu.Lock()
 			position, zoneSize := i.roster.ZonePosition(now)
 			i.scheduler.SetEntries(position, zoneSize, i.roster.LiveCount(now)+1)
+			i.updateColdView(now, zoneSize)
 			i.scheduler.SetRequestsElsewhere(now, i.roster.RequestsElsewhere(now))
 			silent := i.roster.NewlySilent(now)
 			i.mu.Unlock()
@@ -386,5 +387,6 @@
 		}
 		i.roster.Register(time.Now(), entry)
 	}
+	i.rosterKnown = true
 	return true
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -155,6 +155,8 @@
 	servers  map[string]*server
 	// availability holds what servers have said about further requests.
 	availability *availability.Tracker
+	// cold limits the requests to cold servers.
+	cold *coldState
 	// requiredVersions holds, for each model, the lowest version on which a request may
 	// begin.
 	requiredVersions map[string]int
@@ -200,6 +202,7 @@
 			if existing.Started == 0 {
 				s.availability.Forget(existing.Incarnation())
 			}
+			s.releaseCold(existing)
 			delete(s.servers, id)
 		}
 	}
@@ -211,9 +214,11 @@
 		}
 		existing.Server = updated
 		existing.availability = s.availability.Find(existing.Incarnation())
+		s.trackCold(now, existing)
 		svc := s.serviceFor(updated.Service)
 		svc.servers = append(svc.servers, existing)
 	}
+	s.endColdStart()
 	for _, svc := range s.services {
 		sort.Slice(svc.servers, func(i, j int) bool { return svc.servers[i].ID < svc.servers[j].ID })
 		s.assignPreferredServers(svc)
@@ -316,6 +321,7 @@
 	}
 	if selected := s.selectServer(now, svc, request); selected != nil {
 		selected.localRequests++
+		s.reserveCold(selected)
 		rank.dispatchRate.count(now)
 		if countsForShare {
 			rank.served.countDispatch(now)
@@ -428,6 +434,7 @@
 			continue
 		}
 		selected.localRequests++
+		s.reserveCold(selected)
 		s.Cancel(request)
 		rank := svc.rankState(request.Rank)
 		rank.dispatchRate.count(now)
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -83,7 +83,8 @@
 // selectServer returns a server with free capacity for the request, or nil if there is
 // none. It leaves out servers that are suspended, that have asked for a pause or have as many
 // requests in flight as they may after it, that have a request in flight after a stall, or whose
-// next load of weights the request would delay.
+// next load of weights the request would delay. A cold server to which this entry may send nothing
+// now counts as full.
 //
 // Of the preferred servers, it takes the one with the lowest utilization. Of the others, it
 // draws two of the own zone and two of other zones at random: their counts are old, and
@@ -106,7 +107,7 @@
 			continue
 		}
 		hasPreferred = hasPreferred || candidate.preferred
-		if candidate.inFlight() >= candidate.capacityFor(now, request, svc) {
+		if candidate.inFlight() >= candidate.capacityFor(now, request, svc) || !s.coldAllows(candidate) {
 			continue
 		}
 		switch {
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+	"github.com/fuchsiarouter/fuchsiarouter/cold"
 )
 
 // server is the scheduling state of a backend server.
@@ -33,6 +34,8 @@
 	suspendedUntil time.Time
 	// availability is what the server has said about further requests, nil if nothing.
 	availability *availability.State
+	// cold is the cold state of the server, nil if its service has no cold servers.
+	cold *cold.Server
 	// replaced is set when another incarnation has answered at the server's address.
 	replaced bool
 	// loaderVersions, loadingWeights and nextLoadAt are the state that the loader on the
