cold: give an entry 5 s to find the servers that were there before it

Cause: when a whole fleet starts, servers register over some seconds. All after the first read were taken for new, and for cold until their next registration.

Change: servers that are added within 5 s after the first ones count as found at the start, with the same rule for registrations that say that they are not cold.

Result: go test ./cold ./schedule passes. Without the window, or without its end, TestStartOfEntry, TestUnannouncedColdServer or TestNewServerMayBeCold fail.

--- a/cold/cold.go
+++ b/cold/cold.go
@@ -55,6 +55,9 @@
 	// an entry. A registration that arrives earlier after another sign of coldness may have been
 	// written before that.
 	registrationDelay = time.Second
+	// startTime is how long an entry takes to find the servers that were there before it, some of
+	// which may register late if both started at the same time.
+	startTime = 5 * time.Second
 	// startSequence is the sequence number up to which a registration may be the first one of
 	// its server.
 	startSequence = 1
@@ -140,8 +143,8 @@
 	// contactSince the time since which there was contact without interruption.
 	updatedAt, lastContact, contactSince time.Duration
 	hasView, hadContact                  bool
-	// knowsServers is set once the first set of servers was registered.
-	knowsServers bool
+	// startUntil is the end of the start of this entry, 0 until servers are known.
+	startUntil time.Duration
 
 	withheld uint64
 	events   []Event
--- a/cold/cold_test.go
+++ b/cold/cold_test.go
@@ -177,7 +177,7 @@
 			var entries []*simulatedEntry
 			add := func(zone, self string, view func(time.Duration) cold.View, runs func(time.Duration) bool) {
 				entry := &simulatedEntry{limiter: newLimiter(self, zone), view: view, runs: runs}
-				entry.limiter.ServersKnown()
+				entry.limiter.ServersKnown(begin)
 				for i := range servers {
 					registration := cold.Registration{Sequence: 9, Age: time.Hour, ColdFor: time.Minute}
 					entry.servers = append(entry.servers, entry.limiter.Add(begin, fmt.Sprint("server ", i), "s", "a", registration))
@@ -320,7 +320,7 @@
 func TestUnannouncedColdServer(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limiter := newLimiter("a-0", "a")
-	limiter.ServersKnown()
+	limiter.ServersKnown(begin)
 	now := settle(limiter, begin, ownZone(11))
 	server := limiter.Add(now, "x", "s", "a", cold.Registration{Sequence: 1, Age: 0})
 	g.Expect(burst(limiter, now, server)).To(gomega.Equal(3))
@@ -343,6 +343,7 @@
 func TestStartOfEntry(t *testing.T) {
 	g := gomega.NewWithT(t)
 	limiter := newLimiter("a-0", "a")
+	limiter.ServersKnown(begin - time.Second)
 	for name, registration := range map[string]cold.Registration{
 		"started long ago":       {Sequence: 1, Age: time.Hour},
 		"a later registration":   {Sequence: 4, Age: -1},
@@ -352,6 +353,7 @@
 	}
 	g.Expect(limiter.Add(begin, "x", "s", "a", cold.Registration{Sequence: 1, Age: time.Second}).IsLimited()).To(gomega.BeTrue())
 	g.Expect(limiter.Add(begin, "y", "s", "a", cold.Registration{Sequence: 7, Age: time.Hour, ColdFor: time.Second}).IsLimited()).To(gomega.BeTrue())
+	g.Expect(limiter.Add(begin+5*time.Second, "later", "s", "a", cold.Registration{Sequence: 4, Age: -1}).IsLimited()).To(gomega.BeTrue())
 	g.Expect(limiter.Add(begin, "z", "other", "a", cold.Registration{Sequence: 1})).To(gomega.BeNil(), "no cold rate")
 }
 
--- a/cold/server.go
+++ b/cold/server.go
@@ -70,8 +70,8 @@
 }
 
 // Add returns the state of a server that was not known before, or nil if its service has no cold
-// servers. The servers that are added before the first call of ServersKnown are those that the
-// entry finds at its start.
+// servers. The servers that are added until startTime after the first call of ServersKnown are those
+// that the entry finds at its start.
 func (l *Limiter) Add(now time.Duration, id, service, zone string, registration Registration) *Server {
 	settings := l.services[service]
 	if !settings.IsLimited() {
@@ -82,7 +82,7 @@
 	switch {
 	case registration.ColdFor > 0:
 		l.mark(now, server, registration.ColdFor, Registered)
-	case l.knowsServers || !isOld:
+	case l.startUntil > 0 && now >= l.startUntil || !isOld:
 		l.mark(now, server, settings.Time, FirstSeen)
 		server.fromStart = server.limited
 	}
@@ -100,8 +100,13 @@
 	l.mark(now, server, server.service.Time, FirstSeen)
 }
 
-// ServersKnown ends the start of the entry: servers that are added from now on are new.
-func (l *Limiter) ServersKnown() { l.knowsServers = true }
+// ServersKnown records that the entry knows servers. Those that are added from startTime after the
+// first call on are new.
+func (l *Limiter) ServersKnown(now time.Duration) {
+	if l.startUntil == 0 {
+		l.startUntil = now + startTime
+	}
+}
 
 // SetService replaces the settings of the server's service.
 func (l *Limiter) SetService(server *Server, service string) {
--- a/schedule/cold.go
+++ b/schedule/cold.go
@@ -67,7 +67,7 @@
 			s.trackCold(now, server)
 		}
 	}
-	s.endColdStart()
+	s.noteColdServers()
 }
 
 // LimitsCold reports whether a service has cold servers.
@@ -127,10 +127,10 @@
 	return s.cold.removed[id].state
 }
 
-// endColdStart ends the start of the entry for its limiter, if servers are known.
-func (s *Scheduler) endColdStart() {
+// noteColdServers tells the limiter that servers are known, from which the start of the entry ends.
+func (s *Scheduler) noteColdServers() {
 	if s.cold != nil && len(s.servers) > 0 {
-		s.cold.limiter.ServersKnown()
+		s.cold.limiter.ServersKnown(s.cold.clock())
 	}
 }
 
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -218,7 +218,7 @@
 		svc := s.serviceFor(updated.Service)
 		svc.servers = append(svc.servers, existing)
 	}
-	s.endColdStart()
+	s.noteColdServers()
 	for _, svc := range s.services {
 		sort.Slice(svc.servers, func(i, j int) bool { return svc.servers[i].ID < svc.servers[j].ID })
 		s.assignPreferredServers(svc)
