schedule: hook for fair shares of workspaces, off unless switched on

Cause: the scheduler uses no workspace.

Change: SetFairShares gives a service its shares. They choose among the queued requests of one rank, replace the expected wait while the rank is overloaded, and may leave the last free slots to other entries.

Result: go test ./schedule passes. Without the order, the wait, the counts of served and queued work, and the hold of arriving and of queued requests, a test in schedule/fairshare_test.go fails.

--- /dev/null
+++ b/schedule/fairshare_test.go
@@ -0,0 +1,116 @@
+package schedule_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/fuchsiarouter/fuchsiarouter/fairshare"
+	"github.com/fuchsiarouter/fuchsiarouter/schedule"
+)
+
+// workspaceRequest returns a request of a workspace.
+func workspaceRequest(workspace string, rank int, at time.Time, sent map[string]int) *schedule.Request {
+	request := newRequest(rank, at)
+	request.Workspace = workspace
+	request.OnDecision = func(decision schedule.Decision) {
+		if decision.Server != "" {
+			sent[workspace]++
+		}
+	}
+	return request
+}
+
+// playWorkspaces plays a workspace with 100 requests per second, and one with 4, on a server that runs
+// 20 per second, and returns how many of each were sent in 10 s.
+func playWorkspaces(s *schedule.Scheduler, now *time.Time) map[string]int {
+	sent := map[string]int{}
+	running := []time.Time{}
+	for tick := range 1000 {
+		*now = now.Add(10 * time.Millisecond)
+		submit := func(workspace string) {
+			if s.Submit(*now, workspaceRequest(workspace, 1, *now, sent)).Server != "" {
+				sent[workspace]++
+			}
+		}
+		submit("greedy")
+		if tick%25 == 0 {
+			submit("modest")
+		}
+		for len(running) < sent["greedy"]+sent["modest"] {
+			running = append(running, now.Add(100*time.Millisecond))
+		}
+		for i, end := range running {
+			if !end.IsZero() && !now.Before(end) {
+				running[i] = time.Time{}
+				s.Release(*now, "a", "s", schedule.Completed)
+			}
+		}
+		s.Tick(*now)
+	}
+	return sent
+}
+
+// TestFairShareOfWorkspace guards against a workspace that displaces another one of the same rank by many requests.
+func TestFairShareOfWorkspace(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := start
+	s := schedule.New("z", keyOf)
+	s.SetServers(start, modelServers("z"))
+	s.SetFairShares("s", fairshare.New(nil), func() time.Duration { return time.Hour + now.Sub(start) })
+	fair := playWorkspaces(s, &now)
+	g.Expect(fair["modest"]).To(gomega.BeNumerically(">=", 38), "of 40")
+	g.Expect(fair["greedy"]).To(gomega.BeNumerically(">=", 140), "the rest is lent")
+}
+
+// TestNoFairShares guards against an effect of workspaces where fair shares are not switched on.
+func TestNoFairShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	now := start
+	s := schedule.New("z", keyOf)
+	s.SetServers(start, modelServers("z"))
+	s.SetFairShares("s", nil, nil)
+	unfair := playWorkspaces(s, &now)
+	g.Expect(unfair["modest"]).To(gomega.BeNumerically("<", 20), "of 40")
+}
+
+// TestWorkspaceWithLeastWorkGoesNext guards against queued requests that are sent in the order of their arrival, whatever their workspaces got before.
+func TestWorkspaceWithLeastWorkGoesNext(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z", keyOf)
+	s.SetServers(start, modelServers("z"))
+	saturate(s)
+	shares, clock := fairshare.New(nil), func() time.Duration { return time.Hour }
+	s.SetFairShares("s", shares, clock)
+	shares.Serve(time.Hour, 1, "greedy", 5)
+	sent := map[string]int{}
+	for _, workspace := range []string{"greedy", "greedy", "modest"} {
+		g.Expect(s.Submit(start, workspaceRequest(workspace, 1, start, sent)).Queued).To(gomega.BeTrue())
+	}
+	s.Release(start, "a", "s", schedule.Completed)
+	g.Expect(sent).To(gomega.Equal(map[string]int{"modest": 1}))
+	s.Release(start, "a", "s", schedule.Completed)
+	g.Expect(sent).To(gomega.Equal(map[string]int{"modest": 1, "greedy": 1}))
+}
+
+// TestLastSlotIsLeftToOthers guards against a workspace above its share that takes the last free slot from those at other entries, by a request that arrives or by a queued one.
+func TestLastSlotIsLeftToOthers(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z", keyOf)
+	s.SetServers(start, modelServers("z"))
+	shares, clock := fairshare.New(nil), func() time.Duration { return time.Hour }
+	s.SetFairShares("s", shares, clock)
+	shares.Serve(time.Hour, 1, "greedy", 5)
+	shares.Refuse(time.Hour, 1, "greedy", 5)
+	shares.SetElsewhere(time.Hour, []fairshare.Usage{{Workspace: "modest", Rank: 1, Served: 1, Sustained: 1, Queued: 1}}, 2, 0)
+	sent := map[string]int{}
+	g.Expect(s.Submit(start, workspaceRequest("greedy", 1, start, sent)).Server).To(gomega.Equal("a"), "two are free")
+	for range 60 {
+		s.Release(start, "none", "s", schedule.Completed)
+	}
+	g.Expect(s.Submit(start, workspaceRequest("greedy", 1, start, sent)).Queued).To(gomega.BeTrue(), "one is free")
+	s.Tick(start)
+	g.Expect(sent).To(gomega.BeEmpty())
+	g.Expect(s.Submit(start, workspaceRequest("modest", 1, start, sent)).Server).To(gomega.Equal("a"))
+}
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -10,8 +10,11 @@
 	// Rank is the priority rank; 0 is the most urgent.
 	Rank int
 	// Workspace is the name of the workspace whose API key the request carries, empty
-	// without a key. The scheduler does not use it.
+	// without a key. The scheduler uses it for fair shares only.
 	Workspace string
+	// Work is the cost of the request for the fair shares, usually in seconds of engine time. A
+	// value that is not positive counts as 1.
+	Work float64
 	// Arrived is the time at which the request arrived at the entry.
 	Arrived time.Time
 	// FirstEventTarget is the time by which the response should begin. If the caller has
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -319,9 +319,10 @@
 	if countsForShare {
 		rank.served.countRequest(now)
 	}
-	if selected := s.selectServer(now, svc, request); selected != nil {
+	if selected := s.selectFair(now, svc, request); selected != nil {
 		selected.localRequests++
 		s.reserveCold(selected)
+		svc.fair.serve(request)
 		rank.dispatchRate.count(now)
 		if countsForShare {
 			rank.served.countDispatch(now)
@@ -344,8 +345,9 @@
 	if refusal, refused := s.refuseWithoutServer(now, svc, request); refused {
 		return refusal
 	}
-	wait := svc.expectedWait(now, request)
+	wait := svc.fair.wait(request, svc.expectedWait(now, request))
 	if now.Add(wait).After(request.queueDeadline) {
+		svc.fair.refuse(request)
 		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, wait)}
 	}
 	s.lastSequence++
@@ -353,6 +355,7 @@
 	request.queued = true
 	position, _ := slices.BinarySearchFunc(svc.queue, request, compareQueueOrder)
 	svc.queue = slices.Insert(svc.queue, position, request)
+	svc.fair.queue(request)
 	return Decision{Queued: true}
 }
 
@@ -395,6 +398,7 @@
 	svc := s.serviceFor(request.Service)
 	svc.queue = slices.DeleteFunc(svc.queue, func(other *Request) bool { return other == request })
 	request.queued = false
+	svc.fair.unqueue(request)
 	return true
 }
 
@@ -407,6 +411,7 @@
 			request := svc.queue[i]
 			if now.After(request.queueDeadline) {
 				s.Cancel(request)
+				svc.fair.refuse(request)
 				request.OnDecision(Decision{Reason: Expired, RetryAfter: svc.retryAfter(now, 0)})
 			}
 		}
@@ -421,7 +426,7 @@
 	}
 	skipped := map[*Request]bool{}
 	for {
-		request := svc.nextQueued(skipped)
+		request := svc.nextFair(now, svc.nextQueued(skipped), skipped)
 		if request == nil {
 			return
 		}
@@ -436,6 +441,7 @@
 		selected.localRequests++
 		s.reserveCold(selected)
 		s.Cancel(request)
+		svc.fair.serve(request)
 		rank := svc.rankState(request.Rank)
 		rank.dispatchRate.count(now)
 		if request.queuePriority == request.Rank && len(request.TriedServers) == 0 {
--- a/schedule/service.go
+++ b/schedule/service.go
@@ -17,6 +17,8 @@
 	borrowableAt time.Time
 	// queue holds the queued requests, sorted by compareQueueOrder.
 	queue []*Request
+	// fair holds the fair shares of workspaces, nil unless they are switched on.
+	fair *fairShares
 	// completionRate is the number of requests of this entry to the service that complete
 	// per second.
 	completionRate decayingRate
