fairshare: check all workspaces below their share, list what is missed

The stated target is that a workspace below its share is served as without overload.

Change: 0.95 holds for every workspace below its share. A skewed load at 4 and 32 entries, and 24 slots, are tests of their own. They fail, are passed over unless KNOWN_RED is set, and are listed in KNOWN-RED.txt.

--- a/fairshare/fairshare_test.go
+++ b/fairshare/fairshare_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"testing"
 	"time"
@@ -18,9 +19,6 @@
 	// reportInterval and reportDelay are those of the messages between entries.
 	reportInterval = 150 * time.Millisecond
 	reportDelay    = 150 * time.Millisecond
-	// steady is the part of its share up to which a workspace with random arrivals does not exceed
-	// the share for long.
-	steady = 0.8
 	// patience is the time for which a request may wait in a queue.
 	patience = 500 * time.Millisecond
 	// warmUp is the time that is not counted.
@@ -283,7 +281,7 @@
 		total += fair
 		served := s.served[workspace] / counted
 		switch {
-		case rates[workspace] <= steady*level*max(s.weights[workspace], 1):
+		case rates[workspace] <= level*max(s.weights[workspace], 1):
 			g.Expect(served).To(gomega.BeNumerically(">=", 0.95*fair), "%s, asks for %.2f", workspace, rates[workspace])
 		default:
 			g.Expect(served).To(gomega.BeNumerically(">=", 0.85*fair), "%s, asks for %.2f", workspace, rates[workspace])
@@ -319,25 +317,65 @@
 	}
 }
 
+// skewed returns the rates of 24 workspaces that ask for 1.6 times the capacity together, of which a
+// few ask for most.
+func skewed(capacity float64) map[string]float64 {
+	rates, sum := map[string]float64{}, 0.0
+	for i := range 24 {
+		sum += 1 / math.Pow(float64(i+1), 1.1)
+	}
+	for i := range 24 {
+		rates[fmt.Sprintf("w%02d", i)] = 1.6 * capacity / math.Pow(float64(i+1), 1.1) / sum
+	}
+	return rates
+}
+
 // TestSkewedWorkspaces guards against shares by demand: of 24 workspaces, a few ask for most of the work.
 func TestSkewedWorkspaces(t *testing.T) {
-	for _, entries := range []int{1, 4, 32} {
+	g := gomega.NewWithT(t)
+	s := newSimulation(2, 1, skewed(slots))
+	s.play(20 * time.Second)
+	s.expectFair(g, 20*time.Second)
+}
+
+// skipUnlessKnownRed skips a test that is listed in KNOWN-RED.txt unless KNOWN_RED is set.
+func skipUnlessKnownRed(t *testing.T) {
+	if os.Getenv("KNOWN_RED") == "" {
+		t.Skip("listed in KNOWN-RED.txt")
+	}
+}
+
+// TestSkewedWorkspacesAtManyEntries guards against shares by demand, and against a workspace just below its share that loses requests, if the requests of each come to several entries.
+func TestSkewedWorkspacesAtManyEntries(t *testing.T) {
+	skipUnlessKnownRed(t)
+	for _, entries := range []int{4, 32} {
 		t.Run(fmt.Sprint(entries, " entries"), func(t *testing.T) {
 			g := gomega.NewWithT(t)
-			rates, sum := usual(0), 0.0
-			for i := range 24 {
-				sum += 1 / math.Pow(float64(i+1), 1.1)
-			}
-			for i := range 24 {
-				rates[fmt.Sprintf("w%02d", i)] = 1.6 * slots / math.Pow(float64(i+1), 1.1) / sum
-			}
-			s := newSimulation(2, entries, rates)
+			s := newSimulation(2, entries, skewed(slots))
 			s.play(20 * time.Second)
 			s.expectFair(g, 20*time.Second)
 		})
 	}
 }
 
+// TestFewSlots guards against unfair shares where a request is a large part of the work per second of its workspace.
+func TestFewSlots(t *testing.T) {
+	skipUnlessKnownRed(t)
+	flood := usual(0.9)
+	flood["w07"] *= 8
+	for name, rates := range map[string]map[string]float64{"flood": flood, "skewed": skewed(24)} {
+		for _, entries := range []int{1, 4, 32} {
+			t.Run(fmt.Sprint(name, ", ", entries, " entries"), func(t *testing.T) {
+				g := gomega.NewWithT(t)
+				s := newSimulation(1, entries, rates)
+				s.slots, s.cost = 24, 0.3
+				s.play(20 * time.Second)
+				s.expectFair(g, 20*time.Second)
+			})
+		}
+	}
+}
+
 // TestHotKey guards against one key whose callers all use the same entry and which takes the slots from workspaces at other entries.
 func TestHotKey(t *testing.T) {
 	g := gomega.NewWithT(t)
