--- a/schedule/cold_test.go
+++ b/schedule/cold_test.go
@@ -244,3 +244,25 @@
 	s.SetColdServices(now, settings, map[string]*catalog.Service{"s": {ColdTime: time.Second}})
 	g.Expect(s.Submit(now, newRequest(0, now)).Server).To(gomega.Equal("a"))
 }
+
+// TestServersOfReturnedZoneMayBeCold guards against a wave of requests to the servers of a zone whose
+// evacuation ends: they may have become cold meanwhile.
+func TestServersOfReturnedZoneMayBeCold(t *testing.T) {
+	g := gomega.NewWithT(t)
+	fleet := newColdFleet(oldServers(1), 26)
+	sendMany := func() int {
+		sent := 0
+		for range 40 {
+			if fleet.send(&schedule.Request{Service: "s", FirstEventTarget: fleet.now.Add(time.Second), Deadline: fleet.now.Add(time.Second), OnDecision: func(schedule.Decision) {}}).Server != "" {
+				sent++
+			}
+		}
+		return sent
+	}
+	g.Expect(sendMany()).To(gomega.Equal(40))
+	fleet.SetEvacuatedZones(fleet.now, map[string]bool{"z": true})
+	fleet.advance(2 * time.Second)
+	g.Expect(sendMany()).To(gomega.BeZero())
+	fleet.SetEvacuatedZones(fleet.now, nil)
+	g.Expect(sendMany()).To(gomega.BeNumerically("<=", 3))
+}
