--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -32,6 +32,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+	"github.com/fuchsiarouter/fuchsiarouter/cold"
 	"github.com/fuchsiarouter/fuchsiarouter/exchange"
 	"github.com/fuchsiarouter/fuchsiarouter/mirror"
 	"github.com/fuchsiarouter/fuchsiarouter/quarantine"
@@ -128,6 +129,8 @@
 	ResendRatio     float64
 	ResendAllowance float64
 	ResendWindow    time.Duration
+	// ColdBound bounds the requests to a cold server.
+	ColdBound cold.Bound
 	// MaxKeptConnections is the number of open connections of callers above which connections are
 	// closed after a response. With 0, it follows from the descriptors of the process.
 	MaxKeptConnections int
@@ -168,6 +171,8 @@
 	resendBudgets map[string]*resendBudget
 	// roster holds the other entries.
 	roster *roster.Roster
+	// rosterKnown is set once the registered entries were read.
+	rosterKnown bool
 	// declaredVersions holds the declared versions of each model, oldest first.
 	declaredVersions map[string][]catalog.DeclaredVersion
 
@@ -217,6 +222,8 @@
 	unknownNames unknownNames
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
+	// coldMalformed is set after the first cold time outside the range.
+	coldMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
 	inFlight atomic.Int64
 	// httpServers holds all HTTP servers that were started. One of them is callerServer,
@@ -356,6 +363,7 @@
 	i.reportUnknownZones(view)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.applyColdServices(view)
 	i.scheduler.SetEvacuatedZones(time.Now(), view.EvacuatedZones)
 	i.scheduler.SetServers(time.Now(), view.Servers)
 	for model, target := range view.DeclaredVersions {
@@ -382,7 +390,9 @@
 			i.mu.Lock()
 			i.enforceVersionDeadlines()
 			i.scheduler.Tick(now)
+			coldEvents := i.scheduler.TakeColdEvents()
 			i.mu.Unlock()
+			i.logColdEvents(coldEvents)
 			i.checkStalls(now)
 			if now.Sub(lastSweep) > time.Second {
 				lastSweep = now
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -74,6 +74,12 @@
 	serversLeaving   tally.Counter
 	serverPauses     tally.Counter
 	requestsWithheld tally.Counter
+	// coldServers is the number of servers that are cold or in their slow start, and coldWithheld
+	// counts how often one was left out because of its limit. coldWithheldSeen is the count that
+	// coldWithheld has.
+	coldServers      tally.Gauge
+	coldWithheld     tally.Counter
+	coldWithheldSeen uint64
 	// evacuatedZones is the number of evacuated availability zones.
 	evacuatedZones tally.Gauge
 	// otherRegionsListed counts the responses of the directory that list entries of other regions
@@ -97,6 +103,8 @@
 		evacuatedZones:     scope.Gauge("evacuated_zones"),
 		otherRegionsListed: scope.Counter("directory_other_regions"),
 		serverConnections:  scope.Gauge("server_connections"),
+		coldServers:        scope.Gauge("servers_cold"),
+		coldWithheld:       scope.Counter("cold_withheld"),
 	}
 }
 
@@ -118,6 +126,12 @@
 	c.configurationAge.Update(i.mirror.OperatorAge().Seconds())
 	c.evacuatedZones.Update(float64(len(i.mirror.View().EvacuatedZones)))
 	c.serverConnections.Update(float64(i.upstream.OpenConnections()))
+	i.mu.Lock()
+	coldServers, coldWithheld := i.scheduler.ColdServers(), i.scheduler.ColdWithheld()
+	i.mu.Unlock()
+	c.coldServers.Update(float64(coldServers))
+	c.coldWithheld.Inc(int64(coldWithheld - c.coldWithheldSeen))
+	c.coldWithheldSeen = coldWithheld
 }
 
 // peerHandler returns the HTTP handler for other daemons: records serves their reads of
--- a/schedule/evacuation.go
+++ b/schedule/evacuation.go
@@ -13,6 +13,12 @@
 	if maps.Equal(zones, s.evacuatedZones) {
 		return
 	}
+	for zone := range s.evacuatedZones {
+		if !zones[zone] {
+			// Its servers may have become cold while they got no requests.
+			s.MarkZoneReturned(now, zone)
+		}
+	}
 	s.evacuatedZones = zones
 	for _, server := range s.servers {
 		s.locate(server)
