mirror: keep the date of each version that one read returns

Cause: a relay that learns of two versions of a model in one read stored the first one with the date of the second, since the dates of a batch were kept by key. A daemon that reads through that relay and knows neither version dated the first one late by the time between the two, so requests could begin on an older version after its deadline.

Change: the dates of a batch are kept by record (key and offset).

Result: TestReplacedVersionKeepsDateThroughRelays fails before the change (3605.801 s in place of at most 3603 s) and passes after it; go test ./mirror passes.

--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -77,7 +77,7 @@
 	}
 	for _, record := range read.Records {
 		if record.Key != "" {
-			writtenAt, ok := read.declaredAt[record.Key]
+			writtenAt, ok := read.declaredAt[idOf(record)]
 			if !ok {
 				writtenAt = read.recordWrittenAt(record)
 			}
--- a/mirror/date_test.go
+++ b/mirror/date_test.go
@@ -231,3 +231,49 @@
 		g.Expect(declaredAt[3]).To(gomega.BeNumerically(">", declaredAt[2]))
 	})
 }
+
+// TestReplacedVersionKeepsDateThroughRelays guards against a relay that learns of two versions at once and passes the first one on with the date of the second, so that requests begin on an older version after the deadline (VERSION).
+func TestReplacedVersionKeepsDateThroughRelays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := gomega.NewWithT(t)
+		registry := newRegistry()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "1")
+		clock := clockSince(time.Now(), time.Hour)
+		reader := startWithSettings(registry, mirror.Settings{Clock: clock}, registry)
+		defer reader.Close()
+		time.Sleep(time.Second)
+		var isCut atomic.Bool
+		cut := func(next fuchsiarouter.TopicReader, topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration) (fuchsiarouter.KeyedBatch, error) {
+			if isCut.Load() {
+				return fuchsiarouter.KeyedBatch{}, errDown
+			}
+			return next.Read(topic, from, wait)
+		}
+		second := startWithSettings(registry, mirror.Settings{Clock: clock, RelayWait: 100 * time.Millisecond}, &changedReader{TopicReader: mirrorSource{reader}, read: cut})
+		defer second.Close()
+		var mu sync.Mutex
+		declaredAt := map[int]time.Duration{}
+		third := mirror.New(registry, func() []fuchsiarouter.TopicReader {
+			return []fuchsiarouter.TopicReader{&changedReader{TopicReader: mirrorSource{second}, read: cut}}
+		}, mirror.Settings{Clock: clock, RelayWait: 100 * time.Millisecond}, zap.NewNop(), func(view *catalog.View) {
+			mu.Lock()
+			defer mu.Unlock()
+			declaredAt[view.DeclaredVersions["m"].Version] = view.DeclaredVersions["m"].DeclaredAt
+		})
+		defer third.Close()
+		time.Sleep(time.Second)
+		isCut.Store(true)
+		time.Sleep(time.Second)
+		declared := clock()
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "2")
+		time.Sleep(3 * time.Second)
+		put(t, registry, fuchsiarouter.TopicOperator, "m", "3")
+		time.Sleep(time.Second)
+		isCut.Store(false)
+		time.Sleep(2 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
+		g.Expect(declaredAt).To(gomega.HaveKey(3))
+		g.Expect(declaredAt).To(gomega.HaveKeyWithValue(2, gomega.BeNumerically("<=", declared)))
+	})
+}
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -28,15 +28,24 @@
 	// that the copy lacked before the read, or catalog.UnknownTime. It can be later than the
 	// time of confirmation, which counts from the sending of a read.
 	unchangedUntil time.Duration
-	// declaredAt holds, by key, when the versions were declared whose records are in the batch.
+	// declaredAt holds, by record, when the versions were declared whose records are in the batch.
 	// A version may have been known before the read, so its date may be earlier than what
 	// recordWrittenAt returns.
-	declaredAt map[string]time.Duration
+	declaredAt map[recordID]time.Duration
 	// relayDelay is how long failed reads through other daemons have taken since the copy was
 	// confirmed, 0 if a source has shown since that the registry does not answer.
 	relayDelay time.Duration
 }
 
+// recordID identifies a record of a batch. A batch can have several records of a key.
+type recordID struct {
+	key    string
+	offset int64
+}
+
+// idOf returns the identity of a record of a batch.
+func idOf(record fuchsiarouter.KeyedRecord) recordID { return recordID{record.Key, record.Offset} }
+
 // confirmedAt returns the boot time as of which a read that is not partial confirms the copy.
 func (b *topicBatch) confirmedAt() time.Duration { return b.sentAt - b.Age }
 
@@ -270,7 +279,7 @@
 	}
 	batch := topicBatch{
 		KeyedBatch: read, complete: f.complete || read.Complete, partial: partial, sentAt: sent, receivedAt: f.mirror.settings.Clock(),
-		unchangedUntil: f.unchangedUntil, declaredAt: map[string]time.Duration{},
+		unchangedUntil: f.unchangedUntil, declaredAt: map[recordID]time.Duration{},
 	}
 	if err == nil && read.Relayed && read.Epoch == f.next.Epoch && batch.confirmedAt() <= time.Duration(f.confirmed.Load()) {
 		err = errStale
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -261,7 +261,7 @@
 		}
 		if change.Model != "" {
 			if declared := m.View().DeclaredVersions[change.Model]; declared.Version == change.Version {
-				read.declaredAt[record.Key] = declared.DeclaredAt
+				read.declaredAt[idOf(record)] = declared.DeclaredAt
 			}
 			m.logDeclaration(change, read)
 		}
