mirror: don't count the time in which the registry does not respond

Cause: a version was dated by the last read without it. While the registry refuses reads or does not answer for 3 to 9 s, a version looks that much older than the operators' rule counts it, since the time of a version only counts while the registry is undisturbed.

Change: a refusal (connection refused, status 503) or a missing answer of the registry to an own read moves the bound for versions that are still unread to the sending of that read, unless the time of such a version may have passed before. A missing answer counts only if the machine of the registry has acknowledged the request and this process was running all the time. Reads through other daemons, 429, 404, 410, restorations and reads of a stopped or starved process prove nothing.

--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -247,7 +247,7 @@
 	i.unanswered, i.endUnanswered = context.WithCancelCause(i.lifetime)
 	time.AfterFunc(rosterWait, func() { close(i.rosterWaitOver) })
 	i.roster = roster.New(i.selfEntry())
-	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{RelayWait: relayPollWait}, log, i.applyView)
+	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{RelayWait: relayPollWait, VersionDeadline: settings.VersionDeadline}, log, i.applyView)
 	if err := i.listen(handlers, metrics); err != nil {
 		i.mirror.Close()
 		return nil, err
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -178,7 +178,9 @@
 		Handler: l.handler(metrics), IdleTimeout: 10 * time.Second, ReadTimeout: 10 * time.Second,
 		NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
-	l.mirror = mirror.New(registry, l.topicSources, mirror.Settings{OperatorWait: operatorPollTimeout, ServersInterval: serversPollInterval},
+	l.mirror = mirror.New(registry, l.topicSources, mirror.Settings{
+		OperatorWait: operatorPollTimeout, ServersInterval: serversPollInterval, VersionDeadline: settings.VersionDeadline,
+	},
 		log, func(view *catalog.View) {
 			if l.recordDeclarations(view) {
 				l.reconcileNow()
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -28,6 +28,8 @@
 	// that the copy lacked before the read, or catalog.UnknownTime. It can be later than the
 	// time of confirmation, which counts from the sending of a read.
 	unchangedUntil time.Duration
+	// countStart is the bound of Mirror.countStart after the read, for versions that the copy lacked.
+	countStart time.Duration
 	// declaredAt holds, by record, when the versions were declared whose records are in the batch.
 	// A version may have been known before the read, so its date may be earlier than what
 	// recordWrittenAt returns.
@@ -224,6 +226,9 @@
 	if until := batch.noLaterRecordAt(wait); until >= f.restoredAt+reregisterGrace {
 		// Before that, the absence of a record that a restoration has lost says nothing.
 		f.unchangedUntil = max(f.unchangedUntil, until)
+		if f.topic == fuchsiarouter.TopicOperator {
+			f.mirror.countStart.recordAbsence(until)
+		}
 	}
 	f.relayDelay, f.registryFailed = 0, false
 }
@@ -254,6 +259,10 @@
 	var read fuchsiarouter.KeyedBatch
 	var err error
 	partial := false
+	var check *runCheck
+	if source == fuchsiarouter.TopicReader(f.mirror.registry) {
+		check = startRunCheck(f.mirror.settings.Clock, sent)
+	}
 	if f.complete {
 		read, err = source.ReadNewest(f.topic)
 	} else {
@@ -265,6 +274,10 @@
 			read.End = end
 		}
 	}
+	received := f.mirror.settings.Clock()
+	if check != nil {
+		f.mirror.recordReadError(err, sent, received, check.end(received))
+	}
 	switch {
 	case err != nil:
 	case read.Relayed && read.Epoch < f.next.Epoch:
@@ -278,8 +291,8 @@
 		err = &fuchsiarouter.ExpiredError{OldestOffset: read.End}
 	}
 	batch := topicBatch{
-		KeyedBatch: read, complete: f.complete || read.Complete, partial: partial, sentAt: sent, receivedAt: f.mirror.settings.Clock(),
-		unchangedUntil: f.unchangedUntil, declaredAt: map[recordID]time.Duration{},
+		KeyedBatch: read, complete: f.complete || read.Complete, partial: partial, sentAt: sent, receivedAt: received,
+		unchangedUntil: f.unchangedUntil, countStart: f.mirror.countStart.bound(), declaredAt: map[recordID]time.Duration{},
 	}
 	if err == nil && read.Relayed && read.Epoch == f.next.Epoch && batch.confirmedAt() <= time.Duration(f.confirmed.Load()) {
 		err = errStale
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,6 +14,9 @@
 // of the time at which the read was sent, on a clock that also runs while the VM is
 // suspended; a relayed read confirms it as of that time minus the age of the other copy.
 // The age of the copy is the time since then.
+//
+// A declared version is dated by the last moment at which the topic is known to have lacked it, or
+// by a later disturbance of the registry, see countStart.
 package mirror
 
 import (
@@ -105,6 +108,9 @@
 	// epoch is the latest epoch of the registry of which a topic was read.
 	epoch atomic.Int64
 
+	// countStart bounds from when the time of versions that the next read returns counts.
+	countStart countStart
+
 	// mu serializes the changes of the view and the calls of onChange.
 	mu       sync.Mutex
 	onChange func(*catalog.View)
@@ -130,6 +136,10 @@
 	// RelayWait is how long a read of another daemon's copy waits for new records. When it
 	// is 0, such reads use OperatorWait and ServersInterval, as reads of the registry do.
 	RelayWait time.Duration
+	// VersionDeadline is the time after the declaration of a weight version from which no request
+	// may begin on an older one. It counts anew after a disturbance of the registry. If it is 0,
+	// disturbances do not change the dates of versions.
+	VersionDeadline time.Duration
 	// Clock is the clock that ages are measured with. It must also run while the VM is
 	// suspended.
 	Clock func() time.Duration
@@ -147,7 +157,7 @@
 	if settings.Clock == nil {
 		settings.Clock = boottime.Now
 	}
-	m := &Mirror{registry: registry, sources: sources, settings: settings, log: log, onChange: onChange, closing: make(chan struct{})}
+	m := &Mirror{registry: registry, sources: sources, settings: settings, log: log, onChange: onChange, countStart: newCountStart(settings.VersionDeadline), closing: make(chan struct{})}
 	m.view.Store(&catalog.View{})
 	m.operatorConfirmedAt.Store(int64(-time.Hour))
 	m.serversConfirmedAt.Store(int64(-time.Hour))
@@ -263,7 +273,7 @@
 			if declared := m.View().DeclaredVersions[change.Model]; declared.Version == change.Version {
 				read.declaredAt[idOf(record)] = declared.DeclaredAt
 			}
-			m.logDeclaration(change, read)
+			m.logDeclaration(change, record, read)
 		}
 	}
 }
@@ -272,8 +282,8 @@
 // another daemon lacks the versions that the newest one has replaced, which have an earlier
 // deadline.
 func (m *Mirror) declarations(read topicBatch, record fuchsiarouter.KeyedRecord, change fuchsiarouter.OperatorChange) []catalog.DeclaredVersion {
-	newest := catalog.DeclaredVersion{Version: change.Version, DeclaredAt: read.recordWrittenAt(record)}
-	replaced := catalog.DeclaredVersion{Version: change.Version - 1, DeclaredAt: read.unchangedUntil}
+	newest := catalog.DeclaredVersion{Version: change.Version, DeclaredAt: read.countedFrom(record)}
+	replaced := catalog.DeclaredVersion{Version: change.Version - 1, DeclaredAt: read.lackedUntil()}
 	if replaced.Version > m.View().DeclaredVersions[change.Model].Version && newest.DeclaredAt > replaced.DeclaredAt {
 		return []catalog.DeclaredVersion{replaced, newest}
 	}
@@ -282,13 +292,16 @@
 
 // logDeclaration logs a declared version with the age that this daemon gives to it and the
 // times of the read that returned it, so that a wrong age can be traced to its source.
-func (m *Mirror) logDeclaration(change fuchsiarouter.OperatorChange, read topicBatch) {
+func (m *Mirror) logDeclaration(change fuchsiarouter.OperatorChange, record fuchsiarouter.KeyedRecord, read topicBatch) {
 	fields := []zap.Field{
 		zap.String("model", change.Model), zap.Int("version", change.Version), zap.Bool("relayed", read.Relayed),
 		zap.Duration("read-took", read.receivedAt-read.sentAt),
 	}
 	if declared := m.View().DeclaredVersions[change.Model]; declared.Version == change.Version && declared.DeclaredAt != catalog.UnknownTime {
 		fields = append(fields, zap.Duration("declared-before", read.receivedAt-declared.DeclaredAt), zap.Duration("copy-age", m.OperatorAge()))
+		if moved := declared.DeclaredAt - read.recordWrittenAt(record); moved > 0 && declared.DeclaredAt == read.countedFrom(record) {
+			fields = append(fields, zap.Duration("moved-by-disturbance", moved))
+		}
 	}
 	m.log.Info("weight version declared", fields...)
 }
--- a/registry.go
+++ b/registry.go
@@ -73,6 +73,22 @@
 	Version int
 }
 
+// UnavailableError is the error of a read that the registry refused or did not answer, for a reason
+// that has nothing to do with the read or the daemon that sent it. Only reads of the registry itself
+// return it.
+type UnavailableError struct {
+	// Refused is set if the registry refused the read explicitly. Otherwise it did not answer,
+	// which may also be the result of a pause of this process.
+	Refused bool
+	Err     error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
 // TopicReader reads topics, either from the platform or through a relaying daemon.
 type TopicReader interface {
 	// Read returns the records from the position on, up to the end of the topic. If there
