schedule: refuse requests at once while no server has the required version

Cause: when a version's deadline leaves no server that may run a request, the request was queued, since a server with an older version may load the required one, and expired in the queue. Its caller was told to come back after 0.9 to 2 s whatever the loaders had announced.

Change: such a request is refused at its arrival, or at the next tick if it is queued when the version becomes required, with 2005 and the earliest time at which a loader has announced to be ready; 1.2 to 2 s as before if none has. A request whose queue deadline is later than that time waits, and so does a resumed stream without an announced load. "request ended" states the delay in retry-after.

Result: TestRefusalStatesWhenVersionIsExpected and TestVersionLaterThanDeadline fail without the change, and each new test fails if its part is left out (4 mutations).

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -104,6 +104,8 @@
 	// passedOnBytes is the number of bytes of a streamed response that were passed on to the HTTP
 	// server, which writes them to the caller.
 	passedOnBytes int
+	// retryAfter is the delay that the response to a refused request states, 0 if none.
+	retryAfter time.Duration
 	// finished is set once the end of the request is recorded.
 	finished bool
 }
@@ -291,6 +293,7 @@
 	response.Header.Set(result.HeaderResult, failure.Code.String())
 	response.Header.Set(result.HeaderRan, string(failure.Code.Ran))
 	if failure.RetryAfter > 0 {
+		r.retryAfter = failure.RetryAfter
 		response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 	response.SetBody(failure.Body())
@@ -377,6 +380,9 @@
 	if detail != "" {
 		fields = append(fields, zap.String("detail", detail))
 	}
+	if r.retryAfter > 0 {
+		fields = append(fields, zap.Duration("retry-after", r.retryAfter))
+	}
 	fields = append(fields, i.stopFields()...)
 	i.requestLog.write("request ended", fields)
 }
--- a/schedule/availability.go
+++ b/schedule/availability.go
@@ -99,10 +99,7 @@
 	if until := svc.pausedUntil(now, request); until.After(request.queueDeadline) {
 		return pausedDecision(now, until), true
 	}
-	if !s.hasEligibleServer(now, svc, request) {
-		return Decision{Reason: NoServer, RetryAfter: svc.retryAfter(now, noServerRetryAfter)}, true
-	}
-	return Decision{}, false
+	return s.refuseWithoutVersion(now, svc, request)
 }
 
 // pausedDecision refuses a request until after the end of a pause. The jitter spreads the requests
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -85,7 +85,8 @@
 // Reasons for refusing a request.
 const (
 	// NoServer means that no server of the service can run the request, even when idle:
-	// each one is leaving, was replaced, has been tried or does not hold the model.
+	// each one is leaving, was replaced, has been tried or holds no version of the model on which
+	// the request may begin.
 	NoServer RefusalReason = "no-server"
 	// Paused means that each server that could run the request has asked for a pause, which ends
 	// too late for the request.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -135,7 +135,7 @@
 	minRetryAfter = 900 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 	// noServerRetryAfter is the minimum delay before a retry of a request that no server
-	// can run: engines need seconds to get their weights.
+	// can run, if no loader reports when one can: engines need seconds to get their weights.
 	noServerRetryAfter = 1200 * time.Millisecond
 	// retryJitter is the upper limit of the random delay that is added to the retry delay,
 	// so that refused requests are not retried all at once. The sum is capped at
@@ -258,7 +258,9 @@
 	for _, server := range s.servers {
 		if server.Address == engine.Address && !engine.Number.IsSupersededBy(server.loaderStateNumber) {
 			server.loaderStateNumber = engine.Number
+			wasLoading := server.loadingWeights && now.Before(server.loaderStateUntil)
 			server.loaderVersions, server.loadingWeights, server.loaderStateUntil = engine.Versions, engine.LoadingWeights, now.Add(loaderStateTTL)
+			server.recordLoad(now, wasLoading)
 			server.nextLoadAt = time.Time{}
 			if engine.TimeToLoad > 0 {
 				server.nextLoadAt = now.Add(engine.TimeToLoad)
@@ -269,7 +271,8 @@
 }
 
 // RequireVersion sets the lowest version of a model on which requests may begin from now
-// on. Requests that were already sent to a server are not affected.
+// on. Requests that were already sent to a server are not affected; Tick refuses those in the queue
+// that no server can run in time any more.
 func (s *Scheduler) RequireVersion(model string, version int) { s.requiredVersions[model] = version }
 
 // SetRequestsElsewhere replaces the counts of the requests that the other entries have in
@@ -368,18 +371,6 @@
 	}
 }
 
-// hasEligibleServer reports whether any server could run the request now or later,
-// regardless of its load, of suspensions and of the required version, which a server may
-// still load.
-func (s *Scheduler) hasEligibleServer(now time.Time, svc *service, request *Request) bool {
-	for _, candidate := range svc.servers {
-		if candidate.isEligible(now, request, 0) {
-			return true
-		}
-	}
-	return false
-}
-
 // Cancel removes a request from the queue without a call of OnDecision. It returns false
 // if the request was not queued, or no longer.
 func (s *Scheduler) Cancel(request *Request) bool {
@@ -393,10 +384,12 @@
 }
 
 // Tick assigns servers to the queued requests that can be sent now and refuses those whose
-// queue deadline has passed. It delivers both decisions to OnDecision.
+// queue deadline has passed, or that no server will hold the required version for in time. It
+// delivers both decisions to OnDecision.
 func (s *Scheduler) Tick(now time.Time) {
 	for _, svc := range s.services {
 		s.dispatchQueued(now, svc)
+		s.refuseWithoutVersions(now, svc)
 		for i := len(svc.queue) - 1; i >= 0; i-- {
 			request := svc.queue[i]
 			if now.After(request.queueDeadline) {
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -35,6 +35,8 @@
 	availability *availability.State
 	// replaced is set when another incarnation has answered at the server's address.
 	replaced bool
+	// loadingSince is when the loader first reported the current load.
+	loadingSince time.Time
 	// loaderVersions, loadingWeights and nextLoadAt are the state that the loader on the
 	// VM of the server reported. They take precedence over the registration until
 	// loaderStateUntil. nextLoadAt is zero if no load is planned.
