mirror: take disturbances back when the registry was restored

Cause: a registry that is restored may refuse the reads that were sent before. Such a refusal moved the bound for versions that are still unread, also for one that was declared earlier, lost with the restoration and written again, whose date must stay as it was.

Change: a read of another epoch takes the bound back to the last known absence, and refusals of reads that were sent before it don't count.

Result: two tests fail without the two parts; go test ./mirror passes, with the race detector for the tests of dates as well (which found an unguarded read in TestBusyRegistry, now guarded).

--- a/mirror/disturbance.go
+++ b/mirror/disturbance.go
@@ -32,15 +32,18 @@
 	deadline time.Duration
 
 	mu sync.Mutex
-	// at is the bound as a boot time, or catalog.UnknownTime.
-	at time.Duration
+	// at is the bound as a boot time, or catalog.UnknownTime, and absentUntil what it would be
+	// without disturbances.
+	at, absentUntil time.Duration
+	// restoredAt is the boot time of the last read that showed a restoration of the registry.
+	restoredAt time.Duration
 }
 
 // recordAbsence records that the topic had no record at the boot time that the copy lacks.
 func (c *countStart) recordAbsence(at time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.at = max(c.at, at)
+	c.at, c.absentUntil = max(c.at, at), max(c.absentUntil, at)
 }
 
 // recordDisturbance records that the registry was disturbed at some moment between two boot times.
@@ -48,11 +51,21 @@
 func (c *countStart) recordDisturbance(from, to time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if to-c.at < c.deadline {
+	if to-c.at < c.deadline && from >= c.restoredAt {
 		c.at = max(c.at, from)
 	}
 }
 
+// recordRestoration takes back what the disturbances since the last known absence have changed, at
+// the boot time of a read that shows a restoration of the registry. The registry may refuse reads that
+// were sent before, which is no disturbance for a version that was declared earlier and is written
+// again.
+func (c *countStart) recordRestoration(at time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.at, c.restoredAt = c.absentUntil, at
+}
+
 // bound returns the bound.
 func (c *countStart) bound() time.Duration {
 	c.mu.Lock()
@@ -130,5 +143,5 @@
 
 // newCountStart returns a bound that is not known yet.
 func newCountStart(deadline time.Duration) countStart {
-	return countStart{deadline: deadline, at: catalog.UnknownTime}
+	return countStart{deadline: deadline, at: catalog.UnknownTime, absentUntil: catalog.UnknownTime, restoredAt: catalog.UnknownTime}
 }
--- a/mirror/disturbance_test.go
+++ b/mirror/disturbance_test.go
@@ -30,8 +30,8 @@
 type failingRegistry struct {
 	*memoryRegistry
 	mu sync.Mutex
-	// fail is called with the time for which a read may wait, if it isn't nil. Unless it returns
-	// nil, the read fails with its error.
+	// fail is called with the time for which a read may wait, -1 for a read of the newest records,
+	// if it isn't nil. Unless it returns nil, the read fails with its error.
 	fail func(wait time.Duration) error
 }
 
@@ -62,7 +62,7 @@
 }
 
 func (f *failingRegistry) ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, error) {
-	if err := f.failure(0); err != nil {
+	if err := f.failure(-1); err != nil {
 		return fuchsiarouter.KeyedBatch{}, err
 	}
 	return f.memoryRegistry.ReadNewest(topic)
@@ -222,7 +222,10 @@
 			putVersion(t, registry, version)
 			declared[version] = clock()
 		}
+		registry.setFail(nil)
 		time.Sleep(5 * time.Second)
+		mu.Lock()
+		defer mu.Unlock()
 		versions.mu.Lock()
 		defer versions.mu.Unlock()
 		g.Expect(len(versions.dates)).To(gomega.BeNumerically(">", 10))
@@ -297,7 +300,7 @@
 		var hasRefused atomic.Bool
 		registry.setFail(func(wait time.Duration) error {
 			// Only reads of the operator's topic wait.
-			if wait == 0 || hasRefused.Swap(true) {
+			if wait <= 0 || hasRefused.Swap(true) {
 				return nil
 			}
 			clock.stopped.Add(int64(time.Second))
@@ -495,6 +498,53 @@
 	})
 }
 
+// TestRefusalsOfRestorationDateNoVersionLate guards against reads that are refused since the registry is being restored, and that count as a disturbance for a version that is lost and written again (VERSION).
+func TestRefusalsOfRestorationDateNoVersionLate(t *testing.T) {
+	testDates(t, func(t *testing.T, g *gomega.WithT, registry *failingRegistry) {
+		clock := clockSince(time.Now(), time.Hour)
+		_, versions := startDated(t, registry, clock)
+		time.Sleep(3 * time.Second)
+		declared := clock()
+		registry.restore(fuchsiarouter.TopicOperator, 1)
+		time.Sleep(time.Second)
+		registry.setFail(refuse)
+		time.Sleep(500 * time.Millisecond)
+		registry.restore(fuchsiarouter.TopicOperator, 1)
+		registry.setFail(nil)
+		time.Sleep(500 * time.Millisecond)
+		putVersion(t, registry, 2)
+		time.Sleep(time.Second)
+		g.Expect(versions.date(t, 2)).To(gomega.BeNumerically("<=", declared))
+	})
+}
+
+// TestLateRefusalOfRestorationDatesNoVersionLate guards against a refusal that arrives after another read has shown the restoration which caused it (VERSION).
+func TestLateRefusalOfRestorationDatesNoVersionLate(t *testing.T) {
+	testDates(t, func(t *testing.T, g *gomega.WithT, registry *failingRegistry) {
+		clock := clockSince(time.Now(), time.Hour)
+		_, versions := startDated(t, registry, clock)
+		time.Sleep(3 * time.Second)
+		declared := clock()
+		registry.restore(fuchsiarouter.TopicOperator, 1)
+		time.Sleep(500 * time.Millisecond)
+		registry.setFail(func(wait time.Duration) error {
+			// Only reads of the servers' topic return at once.
+			if wait != 0 {
+				return nil
+			}
+			time.Sleep(600 * time.Millisecond)
+			return errRefused
+		})
+		time.Sleep(450 * time.Millisecond)
+		registry.setFail(nil)
+		registry.restore(fuchsiarouter.TopicOperator, 1)
+		time.Sleep(time.Second)
+		putVersion(t, registry, 2)
+		time.Sleep(time.Second)
+		g.Expect(versions.date(t, 2)).To(gomega.BeNumerically("<=", declared))
+	})
+}
+
 // TestRateLimitedReaderDatesNoVersionLate guards against reads that the registry rejects for a reason in this daemon (429), or answers with nonsense, and that count as a disturbance (VERSION).
 func TestRateLimitedReaderDatesNoVersionLate(t *testing.T) {
 	testDates(t, func(t *testing.T, g *gomega.WithT, registry *failingRegistry) {
@@ -537,6 +587,8 @@
 func TestDisturbanceDatesNoUnknownVersion(t *testing.T) {
 	testDates(t, func(t *testing.T, g *gomega.WithT, registry *failingRegistry) {
 		clock := clockSince(time.Now(), time.Hour)
+		// A first read of another epoch takes disturbances back.
+		registry.change(func() { registry.epoch = 0 })
 		registry.setFail(refuse)
 		_, versions := startDated(t, registry, clock)
 		time.Sleep(2 * time.Second)
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -278,6 +278,9 @@
 	if check != nil {
 		f.mirror.recordReadError(err, sent, received, check.end(received))
 	}
+	if err == nil && read.Epoch != f.next.Epoch && f.topic == fuchsiarouter.TopicOperator {
+		f.mirror.countStart.recordRestoration(received)
+	}
 	switch {
 	case err != nil:
 	case read.Relayed && read.Epoch < f.next.Epoch:
