--- a/supply/pacer_test.go
+++ b/supply/pacer_test.go
@@ -34,7 +34,7 @@
 	g.Expect(last).To(gomega.BeTemporally("~", now.Add(timeout), 30*time.Millisecond))
 
 	sendAt, ok := pacer.Reserve(now, now.Add(timeout), pieceBytes, false, true)
-	g.Expect(ok).To(gomega.BeTrue(), "an importer of another zone does not wait")
+	g.Expect(ok).To(gomega.BeTrue(), "an importer does not wait")
 	g.Expect(sendAt).To(gomega.Equal(now))
 
 	later := now.Add(timeout / 2)
--- a/supply/supply_test.go
+++ b/supply/supply_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// TestEachZoneHasOneImporterOfEachPiece guards against pieces that several loaders of a zone fetch
+// before the others, and against loaders that are taken for importers of what their zone holds.
+func TestEachZoneHasOneImporterOfEachPiece(t *testing.T) {
+	g := gomega.NewWithT(t)
+	all := fleet(4)
+	for piece := range 20 {
+		importers := map[string]int{}
+		for self := range all {
+			if plan(all, self).IsImporter(piece) {
+				importers[all[self].AvailabilityZone]++
+			}
+		}
+		for _, supplier := range all {
+			g.Expect(importers[supplier.AvailabilityZone]).To(gomega.Equal(1))
+		}
+	}
+	all[0].Complete = true
+	for piece := range 20 {
+		g.Expect(plan(all, 1).IsImporter(piece)).To(gomega.BeFalse())
+	}
+}
+
 // TestOnlyLocalHoldersServeUnassignedPieces guards against loaders that each fetch a whole
 // version over a link between zones, for example after a power loss that leaves the
 // weights in one zone only.
