supply: pass pieces on in a zone with few holders

Cause: after all processes were killed during a rollout, the 19 engines that had the version sent 54 copies themselves, which took until 7 s after the kill. Change: the pieces are assigned to all loaders of the zone while there are more than two loaders without the version for each holder.

--- a/supply/supply.go
+++ b/supply/supply.go
@@ -7,7 +7,10 @@
 // every piece is verified against its digest.
 //
 // If loaders in the same availability zone hold the version, they share the requests of
-// that zone. Otherwise one loader of the zone is the importer of each piece: it fetches
+// that zone. If they are few, for example after all processes were killed during a rollout, they
+// would be busy for several times as long as a copy takes: the pieces are then assigned to all
+// loaders of the zone, and those without the version import theirs from the holders. Without any
+// holder in the zone, one loader of the zone is the importer of each piece: it fetches
 // the piece from another zone, and the other loaders of the zone wait for the importer,
 // so that each piece crosses a link between zones once.
 //
@@ -34,6 +37,11 @@
 // took 9 s to download one copy of a version that otherwise takes 4.3 s.
 const maxOriginFetchers = 12
 
+// maxCopiesPerHolder is the number of copies that the holders of an availability zone send on
+// average before the other loaders pass pieces on as well. Two copies take a holder about as long
+// as an importer needs to receive its pieces and pass them on.
+const maxCopiesPerHolder = 2
+
 // Origin is the id that Plan.Source returns for the origin, the server that publishes the
 // weights. No supplier has this id.
 const Origin = ""
@@ -59,8 +67,9 @@
 	// originZone is the availability zone of the origin.
 	originZone string
 	// Holders have the complete version. Importers do not: each of them fetches its share
-	// of the pieces into its zone. The local ones are in the zone of self; localImporters
-	// and originZoneImporters may include self. All are sorted by id.
+	// of the pieces into its zone. The local ones are in the zone of self; local has both kinds.
+	// local, localImporters and originZoneImporters may include self. All are sorted by id.
+	local               []Supplier
 	localHolders        []Supplier
 	localImporters      []Supplier
 	holders             []Supplier
@@ -79,6 +88,9 @@
 	slices.SortFunc(all, func(a, b Supplier) int { return strings.Compare(a.ID, b.ID) })
 	for _, supplier := range all {
 		local := supplier.AvailabilityZone == self.AvailabilityZone
+		if local {
+			p.local = append(p.local, supplier)
+		}
 		switch {
 		case supplier.Complete && local:
 			p.localHolders = append(p.localHolders, supplier)
@@ -104,6 +116,11 @@
 	if len(p.holders) == 0 && originFetcher.ID == p.self.ID {
 		return Origin
 	}
+	if p.sharesWithImporters() {
+		if supplier := p.assign(p.local, piece); supplier != p.self.ID && supplier != Origin {
+			return supplier
+		}
+	}
 	if holder := p.assign(p.localHolders, piece); holder != Origin {
 		return holder
 	}
@@ -127,7 +144,19 @@
 // IsImporter reports whether the loader brings a piece into its availability zone: it passes the
 // piece on to the other loaders of the zone, which have no other source.
 func (p *Plan) IsImporter(piece int) bool {
-	return len(p.localHolders) == 0 && p.assign(p.localImporters, piece) == p.self.ID
+	switch {
+	case p.sharesWithImporters():
+		return p.assign(p.local, piece) == p.self.ID
+	case len(p.localHolders) > 0:
+		return false
+	}
+	return p.assign(p.localImporters, piece) == p.self.ID
+}
+
+// sharesWithImporters reports whether the holders in the own availability zone are too few to send
+// a copy to every other loader of the zone themselves.
+func (p *Plan) sharesWithImporters() bool {
+	return len(p.localHolders) > 0 && len(p.localImporters) > maxCopiesPerHolder*len(p.localHolders)
 }
 
 // originFetcher returns the loader that downloads a piece from the origin for the others,
@@ -142,9 +171,10 @@
 
 // CanServeUnassigned reports whether a supplier that has served its assigned pieces may
 // also serve pieces assigned to others. Only complete suppliers in the same zone may:
-// otherwise loaders would fetch whole copies over the link between zones.
+// otherwise loaders would fetch whole copies over the link between zones. They may not while they
+// are few, because importers wait for them.
 func (p *Plan) CanServeUnassigned(id string) bool {
-	return slices.ContainsFunc(p.localHolders, func(holder Supplier) bool { return holder.ID == id })
+	return !p.sharesWithImporters() && slices.ContainsFunc(p.localHolders, func(holder Supplier) bool { return holder.ID == id })
 }
 
 // assign returns the id of the supplier to which a piece is assigned round-robin. It skips
