--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -70,26 +70,41 @@
 	configurationAge tally.Gauge
 	// serversLeaving counts the servers that have told this entry that they leave, serverPauses the
 	// pauses that servers have asked it for, and requestsWithheld the requests that were not sent
-	// to a selected server for either reason.
+	// to a selected server for either reason, or because it may no longer get them where it is.
 	serversLeaving   tally.Counter
 	serverPauses     tally.Counter
 	requestsWithheld tally.Counter
+	// coldServers is the number of servers that are cold or in their slow start, and coldWithheld
+	// counts how often one was left out because of its limit. coldWithheldSeen is the count that
+	// coldWithheld has.
+	coldServers      tally.Gauge
+	coldWithheld     tally.Counter
+	coldWithheldSeen uint64
+	// evacuatedZones is the number of evacuated availability zones.
+	evacuatedZones tally.Gauge
+	// otherRegionsListed counts the responses of the directory that list entries of other regions
+	// than the caller's although some requests may be served only in some regions.
+	otherRegionsListed tally.Counter
 	// serverConnections is the number of open connections to backend servers.
 	serverConnections tally.Gauge
 }
 
 func newRequestMetrics(scope tally.Scope) requestMetrics {
 	return requestMetrics{
-		scope:             scope,
-		statusFailures:    scope.Counter("news_failed"),
-		duration:          scope.Histogram("request_seconds", latencyBuckets),
-		timeToFirstEvent:  scope.Histogram("first_event_seconds", latencyBuckets),
-		inFlight:          scope.Gauge("requests_in_flight"),
-		configurationAge:  scope.Gauge("view_age_seconds"),
-		serversLeaving:    scope.Counter("servers_leaving"),
-		serverPauses:      scope.Counter("server_pauses"),
-		requestsWithheld:  scope.Counter("requests_withheld"),
-		serverConnections: scope.Gauge("server_connections"),
+		scope:              scope,
+		statusFailures:     scope.Counter("news_failed"),
+		duration:           scope.Histogram("request_seconds", latencyBuckets),
+		timeToFirstEvent:   scope.Histogram("first_event_seconds", latencyBuckets),
+		inFlight:           scope.Gauge("requests_in_flight"),
+		configurationAge:   scope.Gauge("view_age_seconds"),
+		serversLeaving:     scope.Counter("servers_leaving"),
+		serverPauses:       scope.Counter("server_pauses"),
+		requestsWithheld:   scope.Counter("requests_withheld"),
+		evacuatedZones:     scope.Gauge("evacuated_zones"),
+		otherRegionsListed: scope.Counter("directory_other_regions"),
+		serverConnections:  scope.Gauge("server_connections"),
+		coldServers:        scope.Gauge("servers_cold"),
+		coldWithheld:       scope.Counter("cold_withheld"),
 	}
 }
 
@@ -109,7 +124,14 @@
 func (c *requestMetrics) updateGauges(i *Ingress) {
 	c.inFlight.Update(float64(i.inFlight.Load()))
 	c.configurationAge.Update(i.mirror.OperatorAge().Seconds())
+	c.evacuatedZones.Update(float64(len(i.mirror.View().EvacuatedZones)))
 	c.serverConnections.Update(float64(i.upstream.OpenConnections()))
+	i.mu.Lock()
+	coldServers, coldWithheld := i.scheduler.ColdServers(), i.scheduler.ColdWithheld()
+	i.mu.Unlock()
+	c.coldServers.Update(float64(coldServers))
+	c.coldWithheld.Inc(int64(coldWithheld - c.coldWithheldSeen))
+	c.coldWithheldSeen = coldWithheld
 }
 
 // peerHandler returns the HTTP handler for other daemons: records serves their reads of
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -147,6 +147,10 @@
 type Scheduler struct {
 	// zone is the availability zone of the entry.
 	zone string
+	// regions holds the region of each availability zone.
+	regions map[string]string
+	// evacuatedZones holds the availability zones whose servers get no requests.
+	evacuatedZones map[string]bool
 	// keyOf returns the key of a server in the counts of SetRequestsElsewhere.
 	keyOf func(id string) uint32
 	// services holds the state of each service by its name, servers that of each server by
@@ -155,6 +159,8 @@
 	servers  map[string]*server
 	// availability holds what servers have said about further requests.
 	availability *availability.Tracker
+	// cold limits the requests to cold servers.
+	cold *coldState
 	// requiredVersions holds, for each model, the lowest version on which a request may
 	// begin.
 	requiredVersions map[string]int
@@ -189,7 +195,7 @@
 
 // SetServers replaces the set of servers, indexed by ID. A server keeps its scheduling
 // state while its incarnation is the same. Queued requests are assigned to the new servers
-// as far as these have capacity.
+// as far as these have capacity, and refused if no server is left in their regions.
 func (s *Scheduler) SetServers(now time.Time, servers map[string]*catalog.Server) {
 	for _, svc := range s.services {
 		svc.servers = svc.servers[:0]
@@ -200,6 +206,7 @@
 			if existing.Started == 0 {
 				s.availability.Forget(existing.Incarnation())
 			}
+			s.releaseCold(existing)
 			delete(s.servers, id)
 		}
 	}
@@ -210,15 +217,19 @@
 			s.servers[id] = existing
 		}
 		existing.Server = updated
+		s.locate(existing)
 		existing.availability = s.availability.Find(existing.Incarnation())
+		s.trackCold(now, existing)
 		svc := s.serviceFor(updated.Service)
 		svc.servers = append(svc.servers, existing)
 	}
+	s.noteColdServers()
 	for _, svc := range s.services {
 		sort.Slice(svc.servers, func(i, j int) bool { return svc.servers[i].ID < svc.servers[j].ID })
 		s.assignPreferredServers(svc)
 		s.renewBorrowable(now, svc)
 		s.dispatchQueued(now, svc)
+		s.refuseQueued(now, svc, (*Request).isRestricted)
 	}
 }
 
@@ -314,8 +325,10 @@
 	if countsForShare {
 		rank.served.countRequest(now)
 	}
-	if selected := s.selectServer(now, svc, request); selected != nil {
+	if selected := s.selectFair(now, svc, request); selected != nil {
 		selected.localRequests++
+		s.reserveCold(selected)
+		svc.fair.serve(request)
 		rank.dispatchRate.count(now)
 		if countsForShare {
 			rank.served.countDispatch(now)
@@ -336,10 +349,14 @@
 		request.queueDeadline = latestDispatch
 	}
 	if refusal, refused := s.refuseWithoutServer(now, svc, request); refused {
+		if countsForShare && refusal.Reason == RegionUnavailable {
+			rank.served.discountRequest()
+		}
 		return refusal
 	}
-	wait := svc.expectedWait(now, request)
+	wait := svc.fair.wait(request, svc.waitInRegions(request, svc.expectedWait(now, request)))
 	if now.Add(wait).After(request.queueDeadline) {
+		svc.fair.refuse(request)
 		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, wait)}
 	}
 	s.lastSequence++
@@ -347,6 +364,7 @@
 	request.queued = true
 	position, _ := slices.BinarySearchFunc(svc.queue, request, compareQueueOrder)
 	svc.queue = slices.Insert(svc.queue, position, request)
+	svc.fair.queue(request)
 	return Decision{Queued: true}
 }
 
@@ -389,6 +407,7 @@
 	svc := s.serviceFor(request.Service)
 	svc.queue = slices.DeleteFunc(svc.queue, func(other *Request) bool { return other == request })
 	request.queued = false
+	svc.fair.unqueue(request)
 	return true
 }
 
@@ -401,6 +420,7 @@
 			request := svc.queue[i]
 			if now.After(request.queueDeadline) {
 				s.Cancel(request)
+				svc.fair.refuse(request)
 				request.OnDecision(Decision{Reason: Expired, RetryAfter: svc.retryAfter(now, 0)})
 			}
 		}
@@ -415,7 +435,7 @@
 	}
 	skipped := map[*Request]bool{}
 	for {
-		request := svc.nextQueued(skipped)
+		request := svc.nextFair(now, svc.nextQueued(skipped), skipped)
 		if request == nil {
 			return
 		}
@@ -428,7 +448,9 @@
 			continue
 		}
 		selected.localRequests++
+		s.reserveCold(selected)
 		s.Cancel(request)
+		svc.fair.serve(request)
 		rank := svc.rankState(request.Rank)
 		rank.dispatchRate.count(now)
 		if request.queuePriority == request.Rank && len(request.TriedServers) == 0 {
