--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -60,6 +60,7 @@
 	r.scheduling = schedule.Request{
 		Service: r.service, Rank: r.rank, Workspace: r.workspace, Arrived: r.received,
 		FirstEventTarget: r.received.Add(targetDelay - r.sinceFirstSend), Deadline: r.deadline,
+		AllowedRegions: r.allowedRegions,
 	}
 	if r.route.Patience > 0 {
 		r.scheduling.AbandonAt = r.received.Add(r.route.Patience)
@@ -202,6 +203,8 @@
 	switch decision.Reason {
 	case schedule.NoServer:
 		code = result.NoServer
+	case schedule.RegionUnavailable:
+		code = result.RegionUnavailable
 	case schedule.Expired:
 		code = result.DeadlineUnreachable
 	case schedule.Paused:
@@ -259,10 +262,12 @@
 		position: r.position, promptParts: r.PromptParts,
 	}
 	i.stallDetector.add(sentAt, r.activeAttempt)
+	var sending schedule.Sending
 	httpResponse, err := i.upstream.Send(ctx, exchange.Target{Address: server.Address, ID: server.ID, Incarnation: server.Started},
 		text, r.deadline, func(header *fasthttp.ResponseHeader) exchange.Match {
 			reply := i.dialect.ParseResponse(header, r.AttemptID)
 			i.recordAvailability(r, server, reply)
+			i.recordCold(server, reply)
 			switch {
 			case reply.MatchesRequest:
 				return exchange.Belongs
@@ -270,7 +275,8 @@
 				return exchange.Unidentified
 			}
 			return exchange.Other
-		}, func() bool { return i.stillTakes(server) })
+		}, func() bool { return i.stillTakes(r, server) && i.beginSending(server, &sending) })
+	i.endSending(sending)
 	if err != nil {
 		return nil, err
 	}
--- a/loader/converge.go
+++ b/loader/converge.go
@@ -1,7 +1,6 @@
 package loader
 
 import (
-	"slices"
 	"time"
 
 	"github.com/go-faster/errors"
@@ -137,7 +136,7 @@
 // servers are known, because a loader without them would download every piece from the
 // origin.
 func (l *Loader) models(view *catalog.View) []string {
-	if view.Configuration == nil || !l.mirror.HasServers() {
+	if view.Configuration == nil || len(view.Servers) == 0 && !l.mirror.HasServers() {
 		return nil
 	}
 	service := view.Configuration.Services[l.settings.Service]
@@ -237,7 +236,7 @@
 // state and announces it to the entries (ingress daemons), which route requests by it.
 func (l *Loader) recordReport(model string, report fuchsiarouter.EngineReport) {
 	l.mu.Lock()
-	previous := l.engineStates[model]
+	previous, reported := l.engineStates[model]
 	current := engineState{version: report.LoadedVersions[model], loading: report.Busy}
 	l.engineStates[model] = current
 	leaves := report.Leaving && (l.leavingStart == nil || *l.leavingStart != report.StartedAt)
@@ -249,6 +248,10 @@
 		l.changedAt = time.Now()
 	}
 	l.mu.Unlock()
+	if !reported {
+		// Until the first report it is not known whether the engine needs a version.
+		signal(l.wakeFetch)
+	}
 	if leaves {
 		l.log.Info("engine leaves", zap.Int64("born", report.StartedAt))
 		l.announce()
@@ -305,7 +308,7 @@
 }
 
 // waitForLoadTurn waits until this engine may load. The engines of a service load at
-// times that are spread, in the order of loadPosition, over a window before the version
+// times that are spread, in the order of supply.LoadTurn, over a window before the version
 // deadline. An engine without a version loads immediately. waitForLoadTurn returns true,
 // and the version must not be loaded, if all pieces of a newer version arrived during the
 // wait. While it waits, it announces the time of the load to the entries.
@@ -320,7 +323,7 @@
 		if !ok {
 			return false, nil
 		}
-		position, count := l.loadPosition(l.mirror.View())
+		position, count := supply.LoadTurn(l.mirror.View(), l.settings.Service, l.settings.EngineAddress)
 		timeToDeadline := float64(l.settings.VersionDeadline)
 		windowStart := max(deadline-time.Duration(timeToDeadline*(1-loadWindowStart)), waitStart)
 		windowEnd := deadline - time.Duration(timeToDeadline*(1-loadWindowEnd))
@@ -357,25 +360,6 @@
 	}
 }
 
-// loadPosition returns the zero-based position of this engine in the order in which the
-// engines of its service load, which is the order of their server ids, and the number of
-// these engines. The position is 0 while this engine is not registered.
-func (l *Loader) loadPosition(view *catalog.View) (position, count int) {
-	var ids []string
-	self := ""
-	for id, server := range view.Servers {
-		if server.Service != l.settings.Service {
-			continue
-		}
-		ids = append(ids, id)
-		if server.Address == l.settings.EngineAddress {
-			self = id
-		}
-	}
-	slices.Sort(ids)
-	return max(slices.Index(ids, self), 0), len(ids)
-}
-
 // versionDeadline returns the boot time after which no request may start on the version
 // that the engine holds. It returns false if no newer version is declared.
 func (l *Loader) versionDeadline(model string, held int) (time.Duration, bool) {
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -1,6 +1,10 @@
 package schedule
 
-import "time"
+import (
+	"time"
+
+	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+)
 
 // Request is a caller's request that an entry submits to its scheduler. The same Request
 // is submitted again for each further attempt.
@@ -10,8 +14,11 @@
 	// Rank is the priority rank; 0 is the most urgent.
 	Rank int
 	// Workspace is the name of the workspace whose API key the request carries, empty
-	// without a key. The scheduler does not use it.
+	// without a key. The scheduler uses it for fair shares only.
 	Workspace string
+	// Work is the cost of the request for the fair shares, usually in seconds of engine time. A
+	// value that is not positive counts as 1.
+	Work float64
 	// Arrived is the time at which the request arrived at the entry.
 	Arrived time.Time
 	// FirstEventTarget is the time by which the response should begin. If the caller has
@@ -31,6 +38,8 @@
 	// OutputTokens is the maximum number of tokens that the request asks the model to
 	// generate, 0 if unspecified.
 	OutputTokens int
+	// AllowedRegions are the regions in which the request may be served. Nil allows all.
+	AllowedRegions catalog.RegionSet
 	// TriedServers are the IDs of the servers that the request was already sent to.
 	TriedServers []string
 	// OnDecision is called with the final decision on a queued request, unless the request
@@ -88,6 +97,9 @@
 	// each one is leaving, was replaced, has been tried or holds no version of the model on which
 	// the request may begin.
 	NoServer RefusalReason = "no-server"
+	// RegionUnavailable is NoServer for a request that may be served only in some regions: no server
+	// there can run it.
+	RegionUnavailable RefusalReason = "region-unavailable"
 	// Paused means that each server that could run the request has asked for a pause, which ends
 	// too late for the request.
 	Paused RefusalReason = "servers-paused"
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -8,11 +8,16 @@
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+	"github.com/fuchsiarouter/fuchsiarouter/cold"
 )
 
 // server is the scheduling state of a backend server.
 type server struct {
 	*catalog.Server
+	// region is the region of the server, empty if it is not known.
+	region string
+	// evacuated is set while the availability zone of the server is evacuated.
+	evacuated bool
 	// localRequests is the number of requests of this entry in flight at the server.
 	localRequests int
 	// preferred is set if this entry prefers the server over others with a similar load;
@@ -33,6 +38,8 @@
 	suspendedUntil time.Time
 	// availability is what the server has said about further requests, nil if nothing.
 	availability *availability.State
+	// cold is the cold state of the server, nil if its service has no cold servers.
+	cold *cold.Server
 	// replaced is set when another incarnation has answered at the server's address.
 	replaced bool
 	// loadingSince is when the loader first reported the current load.
@@ -49,15 +56,15 @@
 }
 
 // isEligible reports whether the server may run the request, regardless of its load: it
-// is not leaving or replaced, the request was not sent to it before, and it holds at
-// least the given version of the request's model, if the request has one.
+// is not leaving, replaced or evacuated, it is in an allowed region, the request was not sent to it before, and
+// it holds at least the given version of the request's model, if the request has one.
 func (s *server) isEligible(now time.Time, request *Request, version int) bool {
 	return s.canRun(now, request, version) && !slices.Contains(request.TriedServers, s.ID)
 }
 
 // canRun is isEligible for a server that the request may have been sent to before.
 func (s *server) canRun(now time.Time, request *Request, version int) bool {
-	if s.isLeaving() || s.replaced {
+	if s.isLeaving() || s.replaced || s.evacuated || !request.AllowedRegions.Allows(s.region) {
 		return false
 	}
 	if request.Model == "" {
--- a/schedule/service.go
+++ b/schedule/service.go
@@ -17,6 +17,8 @@
 	borrowableAt time.Time
 	// queue holds the queued requests, sorted by compareQueueOrder.
 	queue []*Request
+	// fair holds the fair shares of workspaces, nil unless they are switched on.
+	fair *fairShares
 	// completionRate is the number of requests of this entry to the service that complete
 	// per second.
 	completionRate decayingRate
@@ -140,7 +142,7 @@
 // allSlotsInUse reports whether all slots of all servers are in use that take requests.
 func (s *service) allSlotsInUse(now time.Time) bool {
 	for _, candidate := range s.servers {
-		if !candidate.isLeaving() && !candidate.availability.IsPaused(now) && candidate.inFlight() < max(candidate.Slots, 1) {
+		if !candidate.isLeaving() && !candidate.evacuated && !candidate.availability.IsPaused(now) && candidate.inFlight() < max(candidate.Slots, 1) {
 			return false
 		}
 	}
--- a/schedule/version_wait.go
+++ b/schedule/version_wait.go
@@ -49,7 +49,8 @@
 func (s *service) expectedReadyAt(now time.Time, request *Request) time.Time {
 	var earliest time.Time
 	for _, candidate := range s.servers {
-		if candidate.isLeaving() || candidate.replaced || slices.Contains(request.TriedServers, candidate.ID) {
+		if candidate.isLeaving() || candidate.replaced || candidate.evacuated || !request.AllowedRegions.Allows(candidate.region) ||
+			slices.Contains(request.TriedServers, candidate.ID) {
 			continue
 		}
 		if at := candidate.expectedReadyAt(now); !at.IsZero() && (earliest.IsZero() || at.Before(earliest)) {
@@ -80,18 +81,18 @@
 	case readyAt.IsZero() && request.Resumed && holdsOlder:
 		return Decision{}, false
 	case readyAt.IsZero():
-		return Decision{Reason: NoServer, RetryAfter: svc.retryAfter(now, noServerRetryAfter)}, true
+		return Decision{Reason: request.noServerReason(), RetryAfter: svc.retryAfter(now, noServerRetryAfter)}, true
 	case !readyAt.After(request.queueDeadline):
 		return Decision{}, false
 	}
 	// The jitter spreads the requests that are refused together.
 	jitter := time.Duration(rand.Int64N(int64(retryJitter)))
-	return Decision{Reason: NoServer, RetryAfter: min(readyAt.Sub(now), maxVersionRetryAfter) + jitter}, true
+	return Decision{Reason: request.noServerReason(), RetryAfter: min(readyAt.Sub(now), maxVersionRetryAfter) + jitter}, true
 }
 
 // refuseWithoutVersions refuses the queued requests of a service that no server will run in time
-// because of the required version, and delivers the decisions to OnDecision. While any server holds
-// the version of a model, the requests for the model stay in the queue.
+// because of the required version, and delivers the decisions to OnDecision. While any server of the
+// allowed regions holds the version of a model, the requests for the model stay in the queue.
 func (s *Scheduler) refuseWithoutVersions(now time.Time, svc *service) {
 	var isHeld map[string]bool
 	for i := len(svc.queue) - 1; i >= 0; i-- {
@@ -101,12 +102,14 @@
 			continue
 		}
 		held, checked := isHeld[request.Model]
-		if !checked {
+		if !checked || request.isRestricted() {
 			held = slices.ContainsFunc(svc.servers, func(candidate *server) bool { return candidate.canRun(now, request, version) })
 			if isHeld == nil {
 				isHeld = map[string]bool{}
 			}
-			isHeld[request.Model] = held
+			if !request.isRestricted() {
+				isHeld[request.Model] = held
+			}
 		}
 		if held {
 			continue
