schedule: select servers by predicted engine time

Cause: the scheduler counts requests, so prompt length plays no part, and two long prompts that are read at one engine are both late. The load in responses was read with three figures only.

Change: package workload predicts the time to the first event and the pause between events from the figures of the engine, the prompts of this entry that are unread, the counts of other entries, the reported pace and the measured times. The scheduler selects, queues and refuses by it for services whose servers report a pace or whose configuration has coldS. The load is read with three or four figures; a malformed one is ignored and logged once.

Result: go test ./schedule ./platform passes; no load was measured yet.

--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -100,8 +100,9 @@
 	return r.WeightedServices[0].Service
 }
 
-// Engine describes the model engines of a service as the operators' configuration does. Of
-// its fields, the daemons read only Models and Pieces.
+// Engine describes the model engines of a service as the operators' configuration does. The
+// scheduler of an entry reads the fields on slots, times and token counts where it counts engine
+// time, see package workload; the loader reads Models and Pieces.
 type Engine struct {
 	// Slots is the maximum number of requests that an engine processes in one batch.
 	Slots int
@@ -112,6 +113,14 @@
 	// PromptTokensPerSecond is the number of prompt tokens that an engine processes in a
 	// second.
 	PromptTokensPerSecond float64
+	// ContextTimePerThousand is the time that each request which generates tokens adds to a
+	// step per 1,000 tokens of its context, PairTimePerMillion the time that reading a prompt
+	// takes per million pairs of a token and an earlier token.
+	ContextTimePerThousand time.Duration
+	PairTimePerMillion     time.Duration
+	// PromptTokensPerStep is the maximum number of prompt tokens that an engine reads in one
+	// step, 0 without a limit.
+	PromptTokensPerStep int
 	// StepsPerPass is the number of decoding steps that an engine runs for a batch in one
 	// pass.
 	StepsPerPass int
@@ -143,6 +152,8 @@
 	OriginAddress string
 	// AvailabilityZone is the availability zone of the origin.
 	AvailabilityZone string
+	// ColdTime is how long a backend server stays cold after its start, 0 if none is ever cold.
+	ColdTime time.Duration
 }
 
 // Limits restrict what a caller may send. A size of 0 means no limit.
--- a/dialect.go
+++ b/dialect.go
@@ -84,6 +84,12 @@
 	Running int
 	Waiting int
 	Slots   int
+	// Pace is how long work takes on the machine of the server now, in relation to the usual
+	// time: 1 is as usual, 2 twice as long. It is 0 if the server does not report it, or reports
+	// it with a load that is not valid.
+	Pace float64
+	// LoadMalformed is set if the server reports a load that cannot be read.
+	LoadMalformed bool
 }
 
 // Dialect parses and formats the heads of requests and responses in the form that the
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -66,6 +66,7 @@
 	}
 	if r.route.ToModelEngine {
 		r.scheduling.Model, r.scheduling.OutputTokens = r.Model, r.MaxOutputTokens
+		r.scheduling.PromptTokens, r.scheduling.GapTarget = r.PromptTokens, r.route.TargetGap
 	}
 	if r.route.Kind == catalog.Stream {
 		return i.runStream(r)
@@ -150,6 +151,7 @@
 	i.mu.Lock()
 	decision := i.scheduler.Submit(submittedAt, &r.scheduling)
 	server := i.scheduler.Server(decision.Server)
+	r.urgency = i.scheduler.Urgency(submittedAt, &r.scheduling)
 	i.mu.Unlock()
 	if decision.Queued {
 		select {
@@ -168,6 +170,7 @@
 		r.queueTime += time.Since(submittedAt)
 		i.mu.Lock()
 		server = i.scheduler.Server(decision.Server)
+		r.urgency = i.scheduler.Urgency(time.Now(), &r.scheduling)
 		i.mu.Unlock()
 	}
 	if decision.Server == "" {
@@ -228,7 +231,7 @@
 	body := r.ctx.Request.Body()
 	urgency := -1
 	if r.route.ToModelEngine {
-		urgency = r.rank
+		urgency = r.urgency
 	}
 	head := make([]byte, 0, 1024+len(body))
 	head = i.dialect.AppendHead(head, &r.ctx.Request.Header, fuchsiarouter.UpstreamHeaders{
@@ -263,6 +266,7 @@
 		text, r.deadline, func(header *fasthttp.ResponseHeader) exchange.Match {
 			reply := i.dialect.ParseResponse(header, r.AttemptID)
 			i.recordAvailability(r, server, reply)
+			i.recordLoad(server, reply)
 			switch {
 			case reply.MatchesRequest:
 				return exchange.Belongs
@@ -278,9 +282,7 @@
 	if now := time.Now(); i.stallDetector.recordProgress(now, r.activeAttempt) {
 		i.resumeServer(now, server.ID)
 	}
-	i.mu.Lock()
-	i.scheduler.RecordFirstEvent(r.service, r.rank, time.Since(sentAt))
-	i.mu.Unlock()
+	i.recordFirstEvent(r, server.ID, time.Since(sentAt), isSuccess(httpResponse.Header.StatusCode()))
 	return &serverResponse{server: server, http: httpResponse, reply: i.dialect.ParseResponse(httpResponse.Header, r.AttemptID)}, nil
 }
 
@@ -460,5 +462,6 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.scheduler.RemoveSend(server, &r.scheduling)
 	i.scheduler.Release(time.Now(), server, r.service, outcome)
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -70,6 +70,8 @@
 
 	// scheduling is the request in the form that is submitted to the scheduler.
 	scheduling schedule.Request
+	// urgency is the urgency that the engine of the last attempt is told.
+	urgency int
 	// activeAttempt is set while the request is in flight at a server.
 	activeAttempt *activeAttempt
 	// possibleRuns is the number of failed attempts in which a server may have run the
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -210,6 +210,8 @@
 	requestsEndedByStop atomic.Int64
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
+	// loadMalformed is set after the first load of a server that cannot be read.
+	loadMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
 	inFlight atomic.Int64
 	// httpServers holds all HTTP servers that were started. One of them is callerServer,
@@ -345,6 +347,9 @@
 func (i *Ingress) applyView(view *catalog.View) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if view.Configuration != nil {
+		i.scheduler.SetServices(view.Configuration.Services)
+	}
 	i.scheduler.SetServers(time.Now(), view.Servers)
 	for model, target := range view.DeclaredVersions {
 		declared := i.declaredVersions[model]
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -55,6 +55,13 @@
 	400 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 6 * time.Second,
 }
 
+// predictionBuckets are the upper bounds of the buckets of the histograms of prediction errors. The
+// targets for first events are some hundreds of milliseconds.
+var predictionBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond,
+}
+
 // requestMetrics holds the metrics of an ingress.
 type requestMetrics struct {
 	scope tally.Scope
@@ -65,7 +72,14 @@
 	// timeToFirstEvent is the time from the arrival of a request to the first event of its
 	// response, for streamed responses only.
 	timeToFirstEvent tally.Histogram
-	inFlight         tally.Gauge
+	// predictedTooShort and predictedTooLong are the amounts by which first events were later and
+	// earlier than predicted, for services that count engine time.
+	predictedTooShort tally.Histogram
+	predictedTooLong  tally.Histogram
+	// firstEvents counts the first events of those services, by the length of the prompt (index 1
+	// if it is longer than the mean) and by whether they met their target (index 1).
+	firstEvents [2][2]tally.Counter
+	inFlight    tally.Gauge
 	// configurationAge is the age of the copy of the configuration, in seconds.
 	configurationAge tally.Gauge
 	// serversLeaving counts the servers that have told this entry that they leave, serverPauses the
@@ -79,7 +93,16 @@
 }
 
 func newRequestMetrics(scope tally.Scope) requestMetrics {
+	var firstEvents [2][2]tally.Counter
+	for long, prompt := range []string{"short", "long"} {
+		for met, inTarget := range []string{"no", "yes"} {
+			firstEvents[long][met] = scope.Tagged(map[string]string{"prompt": prompt, "in_target": inTarget}).Counter("first_events")
+		}
+	}
 	return requestMetrics{
+		firstEvents:       firstEvents,
+		predictedTooShort: scope.Histogram("first_event_late_seconds", predictionBuckets),
+		predictedTooLong:  scope.Histogram("first_event_early_seconds", predictionBuckets),
 		scope:             scope,
 		statusFailures:    scope.Counter("news_failed"),
 		duration:          scope.Histogram("request_seconds", latencyBuckets),
@@ -105,6 +128,27 @@
 	c.timeToFirstEvent.RecordDuration(took)
 }
 
+// recordPrediction records the error of a predicted time to the first event.
+func (c *requestMetrics) recordPrediction(predicted, took time.Duration) {
+	if took >= predicted {
+		c.predictedTooShort.RecordDuration(took - predicted)
+		return
+	}
+	c.predictedTooLong.RecordDuration(predicted - took)
+}
+
+// recordTarget counts a first event of a service that counts engine time.
+func (c *requestMetrics) recordTarget(longPrompt, inTarget bool) {
+	long, met := 0, 0
+	if longPrompt {
+		long = 1
+	}
+	if inTarget {
+		met = 1
+	}
+	c.firstEvents[long][met].Inc(1)
+}
+
 // updateGauges sets the gauges to the current values of the daemon.
 func (c *requestMetrics) updateGauges(i *Ingress) {
 	c.inFlight.Update(float64(i.inFlight.Load()))
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -31,6 +31,11 @@
 	// OutputTokens is the maximum number of tokens that the request asks the model to
 	// generate, 0 if unspecified.
 	OutputTokens int
+	// PromptTokens is the number of tokens of the prompt, 0 if unspecified.
+	PromptTokens int
+	// GapTarget is the target for the longest pause between the events of the response, 0
+	// without one.
+	GapTarget time.Duration
 	// TriedServers are the IDs of the servers that the request was already sent to.
 	TriedServers []string
 	// OnDecision is called with the final decision on a queued request, unless the request
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -315,7 +315,7 @@
 		rank.served.countRequest(now)
 	}
 	if selected := s.selectServer(now, svc, request); selected != nil {
-		selected.localRequests++
+		s.assign(now, svc, selected, request)
 		rank.dispatchRate.count(now)
 		if countsForShare {
 			rank.served.countDispatch(now)
@@ -332,6 +332,12 @@
 		request.queuePriority += lateRankPenalty
 		request.queueDeadline = now.Add(min(maxLateWait, request.Deadline.Sub(now)/4))
 	}
+	var deficit time.Duration
+	s.lastSequence++
+	request.sequence = s.lastSequence
+	if svc.countsEngineTime(now, request) {
+		deficit = svc.prepareQueueing(now, request)
+	}
 	if latestDispatch := request.AbandonAt.Add(-rank.timeToFirstEvent); !request.AbandonAt.IsZero() && latestDispatch.Before(request.queueDeadline) {
 		request.queueDeadline = latestDispatch
 	}
@@ -339,11 +345,9 @@
 		return refusal
 	}
 	wait := svc.expectedWait(now, request)
-	if now.Add(wait).After(request.queueDeadline) {
-		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, wait)}
+	if deficit > 0 || now.Add(wait).After(request.queueDeadline) {
+		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, max(wait, deficit))}
 	}
-	s.lastSequence++
-	request.sequence = s.lastSequence
 	request.queued = true
 	position, _ := slices.BinarySearchFunc(svc.queue, request, compareQueueOrder)
 	svc.queue = slices.Insert(svc.queue, position, request)
@@ -413,6 +417,10 @@
 	if len(svc.queue) == 0 {
 		return
 	}
+	if svc.engine.isOn(now) {
+		s.dispatchByEngineTime(now, svc)
+		return
+	}
 	skipped := map[*Request]bool{}
 	for {
 		request := svc.nextQueued(skipped)
@@ -427,7 +435,7 @@
 			skipped[request] = true
 			continue
 		}
-		selected.localRequests++
+		s.assign(now, svc, selected, request)
 		s.Cancel(request)
 		rank := svc.rankState(request.Rank)
 		rank.dispatchRate.count(now)
--- a/schedule/select.go
+++ b/schedule/select.go
@@ -92,6 +92,9 @@
 // requests to non-preferred servers is limited by service.borrowable, unless no preferred
 // server could run the request even when idle.
 func (s *Scheduler) selectServer(now time.Time, svc *service, request *Request) *server {
+	if svc.countsEngineTime(now, request) {
+		return s.selectByEngineTime(now, svc, request)
+	}
 	version := s.requiredVersions[request.Model]
 	var best *server
 	lowest := 0.0
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -8,6 +8,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+	"github.com/fuchsiarouter/fuchsiarouter/workload"
 )
 
 // server is the scheduling state of a backend server.
@@ -44,6 +45,8 @@
 	loaderStateUntil time.Time
 	// loaderStateNumber is the number of that state, 0 if it has none.
 	loaderStateNumber fuchsiarouter.StateNumber
+	// work is what is known of the engine time that the requests at the server take.
+	work workload.Server
 }
 
 // isEligible reports whether the server may run the request, regardless of its load: it
--- a/schedule/service.go
+++ b/schedule/service.go
@@ -27,6 +27,8 @@
 	// the first to the last event of a response, divided by the maximum number of tokens
 	// that its request asked for.
 	timePerToken time.Duration
+	// engine is the state for scheduling by predicted engine time.
+	engine engineTime
 }
 
 // retryAfter returns the delay after which a refused request may be retried: the time
