schedule: limit requests to servers of other entries by engine time too

Cause: without the limit of selectServer on requests to non-preferred servers, all entries sent to the same free slots as their counts are old.

Change: the limit applies where engine time is counted, too. Lower ranks leave one slot free, overserved ones four.

--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -17,7 +17,7 @@
 	// does not prefer and whose counts are older. loadingPrice is added for a server that is
 	// loading weights. They are in ms.
 	otherZonePrice    = 30.0
-	nonPreferredPrice = 15.0
+	nonPreferredPrice = 40.0
 	loadingPrice      = 1000.0
 	// localChoices and remoteChoices are the numbers of non-preferred servers that are compared in
 	// the own availability zone and in the others. More than a few at random would make all
@@ -27,17 +27,18 @@
 	// engineOvercommit is the number of requests beyond the slots that a server may get. They wait
 	// in the engine's queue, where those of the most urgent rank go first whichever entry sent
 	// them.
-	engineOvercommit      = 3
-	lowerEngineOvercommit = 1
+	engineOvercommit      = 1
+	lowerEngineOvercommit = -1
+	overservedOvercommit  = -4
 	// inTimeShare is the share of the time left until the target that the predicted time to the
 	// first event may take, and overservedTimeShare that for an overserved rank. The rest covers
 	// the error of the prediction.
-	inTimeShare         = 0.9
+	inTimeShare         = 0.92
 	overservedTimeShare = 0.6
 	// maxDeficitShare is the share of the time left until the target by which the predicted time
 	// may exceed what it may take without a refusal at once. The request is then queued: the
 	// prediction may be wrong by as much.
-	maxDeficitShare = 0.15
+	maxDeficitShare = 0.3
 	// maxPassedOverShare is the share of its target for which a request may be passed over by
 	// requests of its rank that arrive later and have shorter prompts.
 	maxPassedOverShare = 0.2
@@ -187,8 +188,9 @@
 		}
 		return left * inTimeShare, int(float64(slots)*share) - slots
 	case s.isOverserved(request.Rank):
-		return left * overservedTimeShare, 0
-	case request.Rank == 0:
+		return left * overservedTimeShare, overservedOvercommit
+	}
+	if request.Rank == 0 {
 		return left * inTimeShare, engineOvercommit
 	}
 	return left * inTimeShare, lowerEngineOvercommit
@@ -197,7 +199,9 @@
 // selectByEngineTime is selectServer for services that count engine time. It takes the server with
 // the least predicted time to the first event, after the prices for other zones, non-preferred
 // servers and loading weights. It compares the preferred servers and a few others at random and,
-// if the response can begin in time at none of them, all servers.
+// if the response can begin in time at none of them, all servers. As in selectServer, the number of
+// requests to non-preferred servers is limited by service.borrowable, and they get none beyond their
+// slots: without these limits, all entries use the same free slot.
 func (s *Scheduler) selectByEngineTime(now time.Time, svc *service, request *Request) *server {
 	engine := &svc.engine
 	version := s.requiredVersions[request.Model]
@@ -205,6 +209,7 @@
 	allowed, overcommit := svc.timeAllowed(now, request, int(engine.model.Slots))
 	choice := choice{scheduler: s, svc: svc, now: now, reading: reading, allowed: allowed, gap: request.GapTarget}
 	engine.local, engine.remote, engine.hasBest = engine.local[:0], engine.remote[:0], false
+	hasPreferred := false
 	for _, candidate := range svc.servers {
 		if !candidate.isEligible(now, request, version) || now.Before(candidate.suspendedUntil) {
 			continue
@@ -212,6 +217,7 @@
 		if !candidate.availability.Takes(now, candidate.localRequests) || candidate.consecutiveStalls > 0 && candidate.localRequests > 0 || candidate.wouldDelayLoad(now, request, svc) {
 			continue
 		}
+		hasPreferred = hasPreferred || candidate.preferred
 		elsewhere := candidate.work.Elsewhere(now, candidate.requestsElsewhere)
 		if candidate.localRequests+elsewhere >= max(candidate.Slots, 1)+overcommit {
 			continue
@@ -219,12 +225,18 @@
 		switch {
 		case candidate.preferred:
 			choice.consider(candidate, elsewhere)
+		case !request.Resumed && candidate.localRequests+elsewhere >= max(candidate.Slots, 1):
 		case candidate.AvailabilityZone == s.zone:
 			engine.local = append(engine.local, candidate)
 		default:
 			engine.remote = append(engine.remote, candidate)
 		}
 	}
+	limited := hasPreferred && !request.Resumed
+	if limited && svc.borrowable < 1 {
+		engine.selected = choice.prediction
+		return choice.selected
+	}
 	for range min(localChoices, len(engine.local)) {
 		choice.considerOther(engine.local[rand.IntN(len(engine.local))])
 	}
@@ -239,6 +251,9 @@
 		}
 	}
 	engine.selected = choice.prediction
+	if choice.selected != nil && !choice.selected.preferred {
+		svc.borrowable--
+	}
 	return choice.selected
 }
 
