--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -19,17 +20,19 @@
 	otherZonePrice    = 30.0
 	nonPreferredPrice = 40.0
 	loadingPrice      = 1000.0
+	// countError is added to the prediction for a server that this entry does not prefer: servers
+	// are compared by old counts, so those selected have more requests than counted.
+	countError = 40.0
 	// localChoices and remoteChoices are the numbers of non-preferred servers that are compared in
 	// the own availability zone and in the others. More than a few at random would make all
 	// entries choose the same server until their counts are renewed.
 	localChoices  = 3
 	remoteChoices = 2
-	// engineOvercommit is the number of requests beyond the slots that a server may get. They wait
-	// in the engine's queue, where those of the most urgent rank go first whichever entry sent
-	// them.
+	// engineOvercommit is the number of requests of the most urgent rank beyond the slots that a
+	// preferred server may get. They wait in the engine's queue, where this rank goes first whichever
+	// entry sent it. overservedEngineShare is the share of the slots that an overserved rank may use.
 	engineOvercommit      = 1
-	lowerEngineOvercommit = -1
-	overservedOvercommit  = -4
+	overservedEngineShare = 0.67
 	// inTimeShare is the share of the time left until the target that the predicted time to the
 	// first event may take, and overservedTimeShare that for an overserved rank. The rest covers
 	// the error of the prediction.
@@ -186,14 +189,13 @@
 		if s.refusesInTime(now) {
 			share = lateSlotShare
 		}
-		return left * inTimeShare, int(float64(slots)*share) - slots
+		return left * inTimeShare, int(math.Ceil(float64(slots)*share)) - slots
 	case s.isOverserved(request.Rank):
-		return left * overservedTimeShare, overservedOvercommit
-	}
-	if request.Rank == 0 {
+		return left * overservedTimeShare, int(math.Ceil(float64(slots)*overservedEngineShare)) - slots
+	case request.Rank == 0:
 		return left * inTimeShare, engineOvercommit
 	}
-	return left * inTimeShare, lowerEngineOvercommit
+	return left * inTimeShare, 0
 }
 
 // selectByEngineTime is selectServer for services that count engine time. It takes the server with
@@ -282,6 +284,9 @@
 	if !engine.hasBest || prediction.FirstEvent < engine.best {
 		engine.best, engine.hasBest = prediction.FirstEvent, true
 	}
+	if !candidate.preferred {
+		prediction.FirstEvent += countError
+	}
 	if prediction.FirstEvent > c.allowed {
 		return
 	}
--- a/workload/server.go
+++ b/workload/server.go
@@ -29,6 +29,10 @@
 	// unbegunShare is the share of the prompt of a request of another entry that has not begun
 	// which is still to be read, on average.
 	unbegunShare = 0.6
+	// fullSlotWait is the part of the mean time between two ends of requests for which a request
+	// waits at a server whose slots are counted as in use. Some have become free meanwhile, which
+	// the counts show later.
+	fullSlotWait = 0.5
 	// maxOverdue bounds, in ms, the time by which a request without a first event is late at a
 	// server that counts against the server.
 	maxOverdue = 1000
@@ -162,7 +166,7 @@
 	}
 	slotWait := 0.0
 	if count >= m.Slots {
-		slotWait = (count - m.Slots + 1) * m.meanStay / m.Slots
+		slotWait = (count - m.Slots + fullSlotWait) * m.meanStay / m.Slots
 	}
 	speed := s.Pace(now) * s.Factor(now)
 	wait := pass / 2
