--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -38,6 +38,14 @@
 	// the error of the prediction.
 	inTimeShare         = 0.92
 	overservedTimeShare = 0.6
+	// longPrompt is the time to read a prompt, in relation to the mean, from which it counts as long;
+	// about a tenth of the prompts do. While less than longServedShare of the served share of all
+	// prompts is served of the long ones, which fill their target by themselves, they may take
+	// longTimeShare of the time left, and longOvercommit more requests at a server.
+	longPrompt      = 2.0
+	longServedShare = 0.7
+	longTimeShare   = 1.1
+	longOvercommit  = 2
 	// maxDeficitShare is the share of the time left until the target by which the predicted time
 	// may exceed what it may take without a refusal at once. The request is then queued: the
 	// prediction may be wrong by as much.
@@ -69,6 +77,27 @@
 	best     float64
 	hasBest  bool
 	selected workload.Prediction
+	// served and longServed are the served shares of all requests and of those with long prompts.
+	served, longServed servedShare
+}
+
+// isLong reports whether a request has a long prompt.
+func (e *engineTime) isLong(request *Request) bool {
+	return e.model.Reading(request.PromptTokens) > longPrompt*e.model.MeanReading()
+}
+
+// favorsLong reports whether too small a share of the requests with long prompts is served, without
+// the one that is decided on.
+func (e *engineTime) favorsLong() bool {
+	return e.longServed.dispatched < longServedShare*e.served.ratio()*(e.longServed.requested-1)
+}
+
+// countPrompt counts a request for the served shares, or its dispatch.
+func (e *engineTime) countPrompt(now time.Time, request *Request, count func(*servedShare, time.Time)) {
+	count(&e.served, now)
+	if e.isLong(request) {
+		count(&e.longServed, now)
+	}
 }
 
 // isOn reports whether the service counts engine time.
@@ -166,6 +195,9 @@
 			Request: request, Reading: svc.engine.model.Reading(request.PromptTokens),
 			Predicted: workload.Duration(svc.engine.selected.FirstEvent), SentAt: now,
 		})
+		if len(request.TriedServers) == 0 && !request.late {
+			svc.engine.countPrompt(now, request, (*servedShare).countDispatch)
+		}
 	}
 }
 
@@ -192,10 +224,14 @@
 		return left * inTimeShare, int(math.Ceil(float64(slots)*share)) - slots
 	case s.isOverserved(request.Rank):
 		return left * overservedTimeShare, int(math.Ceil(float64(slots)*overservedEngineShare)) - slots
-	case request.Rank == 0:
-		return left * inTimeShare, engineOvercommit
 	}
-	return left * inTimeShare, 0
+	if request.Rank == 0 {
+		overcommit = engineOvercommit
+	}
+	if s.engine.isLong(request) && s.engine.favorsLong() {
+		return left * longTimeShare, overcommit + longOvercommit
+	}
+	return left * inTimeShare, overcommit
 }
 
 // selectByEngineTime is selectServer for services that count engine time. It takes the server with
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -313,6 +313,9 @@
 	countsForShare := len(request.TriedServers) == 0 && !late
 	if countsForShare {
 		rank.served.countRequest(now)
+		if svc.countsEngineTime(now, request) {
+			svc.engine.countPrompt(now, request, (*servedShare).countRequest)
+		}
 	}
 	if selected := s.selectServer(now, svc, request); selected != nil {
 		s.assign(now, svc, selected, request)
