schedule: expect waits by the model's rate, too

Cause: the wait in the queue was estimated by the requests that completed lately, of which there are few at the start of a burst, so requests were refused that could begin in time.

Change: where engine time is counted, the rate is at least this entry's share of what the servers end with all slots in use. A request is refused at once if its prediction exceeds what it may by 0.15 of the time left.

Result: three runs of go test ./schedule pass.

--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -49,7 +49,7 @@
 	// maxDeficitShare is the share of the time left until the target by which the predicted time
 	// may exceed what it may take without a refusal at once. The request is then queued: the
 	// prediction may be wrong by as much.
-	maxDeficitShare = 0.3
+	maxDeficitShare = 0.15
 	// maxPassedOverShare is the share of its target for which a request may be passed over by
 	// requests of its rank that arrive later and have shorter prompts.
 	maxPassedOverShare = 0.2
@@ -77,6 +77,9 @@
 	best     float64
 	hasBest  bool
 	selected workload.Prediction
+	// rate is the number of requests per second that this entry's share of the servers which the
+	// last selection could use ends while all their slots are in use.
+	rate float64
 	// served and longServed are the served shares of all requests and of those with long prompts.
 	served, longServed servedShare
 }
@@ -247,7 +250,7 @@
 	allowed, overcommit := svc.timeAllowed(now, request, int(engine.model.Slots))
 	choice := choice{scheduler: s, svc: svc, now: now, reading: reading, allowed: allowed, gap: request.GapTarget}
 	engine.local, engine.remote, engine.hasBest = engine.local[:0], engine.remote[:0], false
-	hasPreferred := false
+	hasPreferred, inZone, total := false, 0, 0
 	for _, candidate := range svc.servers {
 		if !candidate.isEligible(now, request, version) || now.Before(candidate.suspendedUntil) {
 			continue
@@ -256,6 +259,10 @@
 			continue
 		}
 		hasPreferred = hasPreferred || candidate.preferred
+		total++
+		if candidate.AvailabilityZone == s.zone {
+			inZone++
+		}
 		elsewhere := candidate.work.Elsewhere(now, candidate.requestsElsewhere)
 		if candidate.localRequests+elsewhere >= max(candidate.Slots, 1)+overcommit {
 			continue
@@ -270,6 +277,10 @@
 			engine.remote = append(engine.remote, candidate)
 		}
 	}
+	engine.rate = engine.model.Rate() * float64(inZone) / float64(s.entryCount)
+	if inZone == 0 {
+		engine.rate = engine.model.Rate() * float64(total) / float64(max(s.fleetSize, s.entryCount))
+	}
 	limited := hasPreferred && !request.Resumed
 	if limited && svc.borrowable < 1 {
 		engine.selected = choice.prediction
--- a/schedule/service.go
+++ b/schedule/service.go
@@ -61,7 +61,9 @@
 // get an equal share of the total rate with the other ranks in the queue, since the rank with
 // the lowest served share goes first. Requests of queue priority 0 are expected to get the
 // total rate, and so do all before their target while only late ones are queued. One that has
-// missed its target is expected to get at least minLateRateShare of the total rate.
+// missed its target is expected to get at least minLateRateShare of the total rate. Where engine time
+// is counted, the total rate is at least that of the model, since few requests complete at the start
+// of a burst.
 func (s *service) expectedWait(now time.Time, request *Request) time.Duration {
 	ahead, ranks, lastPriority := 1, 1, request.queuePriority
 	for _, waiting := range s.queue {
@@ -73,6 +75,9 @@
 		}
 	}
 	totalRate := max(s.completionRate.value(now), minCompletionRate)
+	if s.countsEngineTime(now, request) {
+		totalRate = max(totalRate, s.engine.rate)
+	}
 	share := 1 / float64(ranks)
 	if request.queuePriority > request.Rank {
 		share = minLateRateShare
--- a/workload/model.go
+++ b/workload/model.go
@@ -103,6 +103,10 @@
 // MeanReading returns the time in ms to read a prompt of the mean length.
 func (m *Model) MeanReading() float64 { return m.meanReading }
 
+// Rate returns the number of requests of the mean lengths that a server ends per second while all its
+// slots are in use.
+func (m *Model) Rate() float64 { return m.Slots / m.meanStay * 1000 }
+
 // pass returns the time in ms of a pass with the given number of writing requests, without the
 // prompts that are read in it.
 func (m *Model) pass(writers float64) float64 {
