schedule: predict the wait at a server that loads weights

Cause: a server that loads weights takes no requests for about a second, but it was predicted as any other and only selected last.

Change: half a second is added to its prediction, so that only requests with time left are sent there.

Result: go test ./schedule passes, with a test that guards against it.

--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -15,11 +15,12 @@
 	paceReportMemory = 2 * time.Minute
 	// otherZonePrice and nonPreferredPrice are added, when servers are compared, to the predicted
 	// time to the first event at servers in other availability zones, and at those that this entry
-	// does not prefer and whose counts are older. loadingPrice is added for a server that is
-	// loading weights. They are in ms.
+	// does not prefer and whose counts are older. They are in ms.
 	otherZonePrice    = 30.0
 	nonPreferredPrice = 40.0
-	loadingPrice      = 1000.0
+	// loadingWait is added to the prediction, in ms, for a server that is loading weights. It takes
+	// no new requests for about a second, of which half is left on average.
+	loadingWait = 500.0
 	// countError is added to the prediction for a server that this entry does not prefer: servers
 	// are compared by old counts, so those selected have more requests than counted.
 	countError = 40.0
@@ -238,8 +239,8 @@
 }
 
 // selectByEngineTime is selectServer for services that count engine time. It takes the server with
-// the least predicted time to the first event, after the prices for other zones, non-preferred
-// servers and loading weights. It compares the preferred servers and a few others at random and,
+// the least predicted time to the first event, after the prices for other zones and
+// non-preferred servers. It compares the preferred servers and a few others at random and,
 // if the response can begin in time at none of them, all servers. As in selectServer, the number of
 // requests to non-preferred servers is limited by service.borrowable, and they get none beyond their
 // slots: without these limits, all entries use the same free slot.
@@ -334,6 +335,9 @@
 	if !candidate.preferred {
 		prediction.FirstEvent += countError
 	}
+	if candidate.loadingWeights && c.now.Before(candidate.loaderStateUntil) {
+		prediction.FirstEvent += loadingWait
+	}
 	if prediction.FirstEvent > c.allowed {
 		return
 	}
@@ -347,9 +351,6 @@
 	if !candidate.preferred {
 		score += nonPreferredPrice
 	}
-	if candidate.loadingWeights && c.now.Before(candidate.loaderStateUntil) {
-		score += loadingPrice
-	}
 	switch {
 	case c.selected == nil || score < c.lowest-1e-9:
 		c.selected, c.lowest, c.prediction, c.ties = candidate, score, prediction, 1
--- a/schedule/switch_test.go
+++ b/schedule/switch_test.go
@@ -157,3 +157,15 @@
 		g.Expect(order[0]).To(gomega.Equal(expected+"a"), "%v", wait)
 	}
 }
+
+// TestLoadingServerIsLate guards against requests that are sent to a server which loads weights and
+// takes them only after their target, and against one that is not used for those with time.
+func TestLoadingServerIsLate(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := countingScheduler("z")
+	s.SetEngineState(start, schedule.EngineState{Address: "a", Versions: map[string]int{"m": 1}, LoadingWeights: true})
+	g.Expect(s.Submit(start, newPrompt(100, start)).Server).To(gomega.BeEmpty())
+	patient := newPrompt(100, start)
+	patient.FirstEventTarget = start.Add(time.Second)
+	g.Expect(s.Submit(start, patient).Server).To(gomega.Equal("a"))
+}
