schedule: send requests to idle servers whatever is predicted

Cause: predictions are corrected by measured first events only, so a server that was wrongly predicted to be late for all requests got none, and stayed so for as long as it reported the same pace.

Change: a server with less than half of its slots in use, which owes this entry no first event, gets a request that no server begins in time.

Result: go test ./schedule ./workload passes.

--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -47,6 +47,9 @@
 	longServedShare = 0.7
 	longTimeShare   = 1.1
 	longOvercommit  = 2
+	// idleShare is the share of the slots in use up to which a server gets a request that is predicted
+	// to be late everywhere.
+	idleShare = 0.5
 	// maxDeficitShare is the share of the time left until the target by which the predicted time
 	// may exceed what it may take without a refusal at once. The request is then queued: the
 	// prediction may be wrong by as much.
@@ -284,8 +287,7 @@
 	}
 	limited := hasPreferred && !request.Resumed
 	if limited && svc.borrowable < 1 {
-		engine.selected = choice.prediction
-		return choice.selected
+		return choice.finish(request)
 	}
 	for range min(localChoices, len(engine.local)) {
 		choice.considerOther(engine.local[rand.IntN(len(engine.local))])
@@ -300,11 +302,7 @@
 			}
 		}
 	}
-	engine.selected = choice.prediction
-	if choice.selected != nil && !choice.selected.preferred {
-		svc.borrowable--
-	}
-	return choice.selected
+	return choice.finish(request)
 }
 
 // choice is the comparison of servers for a request.
@@ -318,6 +316,27 @@
 	lowest           float64
 	prediction       workload.Prediction
 	ties             int
+	// fallback is the server with the least prediction, in time or not, of those that load no
+	// weights and owe this entry no first event. fallbackPrediction is that prediction.
+	fallback           *server
+	fallbackPrediction workload.Prediction
+}
+
+// finish returns the selected server. If the response can begin in time at none, this is the fallback,
+// provided that few of its slots are in use: a wrong prediction, which is corrected by measured times
+// only, must not keep all requests from idle servers.
+func (c *choice) finish(request *Request) *server {
+	if c.selected == nil && c.fallback != nil && !request.late {
+		requests := c.fallback.localRequests + c.fallback.work.Elsewhere(c.now, c.fallback.requestsElsewhere)
+		if float64(requests) < idleShare*float64(max(c.fallback.Slots, 1)) {
+			c.selected, c.prediction = c.fallback, c.fallbackPrediction
+		}
+	}
+	c.svc.engine.selected = c.prediction
+	if c.selected != nil && !c.selected.preferred {
+		c.svc.borrowable--
+	}
+	return c.selected
 }
 
 // considerOther is consider for a server of which the requests of other entries are not at hand.
@@ -329,15 +348,19 @@
 func (c *choice) consider(candidate *server, elsewhere int) {
 	engine := &c.svc.engine
 	prediction := engine.model.Predict(c.now, &candidate.work, candidate.localRequests, elsewhere, c.reading)
-	if !engine.hasBest || prediction.FirstEvent < engine.best {
-		engine.best, engine.hasBest = prediction.FirstEvent, true
-	}
 	if !candidate.preferred {
 		prediction.FirstEvent += countError
 	}
-	if candidate.loadingWeights && c.now.Before(candidate.loaderStateUntil) {
+	loading := candidate.loadingWeights && c.now.Before(candidate.loaderStateUntil)
+	if loading {
 		prediction.FirstEvent += loadingWait
 	}
+	if !engine.hasBest || prediction.FirstEvent < engine.best {
+		engine.best, engine.hasBest = prediction.FirstEvent, true
+	}
+	if !loading && candidate.work.Unbegun() == 0 && (c.fallback == nil || prediction.FirstEvent < c.fallbackPrediction.FirstEvent) {
+		c.fallback, c.fallbackPrediction = candidate, prediction
+	}
 	if prediction.FirstEvent > c.allowed {
 		return
 	}
--- a/schedule/switch_test.go
+++ b/schedule/switch_test.go
@@ -169,3 +169,18 @@
 	patient.FirstEventTarget = start.Add(time.Second)
 	g.Expect(s.Submit(start, patient).Server).To(gomega.Equal("a"))
 }
+
+// TestIdleServerIsUsed guards against idle servers that get no requests, and so no chance of a better
+// prediction, because all are predicted to be late there.
+func TestIdleServerIsUsed(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := countingScheduler("z")
+	for range 100 {
+		s.RecordLoad(start, "a", 0, 0, 12, 50)
+	}
+	request := newPrompt(1000, start)
+	g.Expect(s.Submit(start, request).Server).To(gomega.Equal("a"))
+	g.Expect(s.Submit(start, newPrompt(1000, start)).Server).To(gomega.BeEmpty(), "until the first one begins")
+	s.RecordServerFirstEvent(start, "a", request, 100*time.Millisecond, true)
+	g.Expect(s.Submit(start, newPrompt(1000, start)).Server).To(gomega.Equal("a"))
+}
--- a/workload/server.go
+++ b/workload/server.go
@@ -86,6 +86,9 @@
 	return Send{}, false
 }
 
+// Unbegun returns the number of requests of this entry at the server that have not begun.
+func (s *Server) Unbegun() int { return len(s.sends) }
+
 // RecordLoad records the load in a response: the requests of other entries at the server, and the
 // pace, 0 if it was not reported.
 func (s *Server) RecordLoad(now time.Time, elsewhere int, pace float64) {
