workload: average reported paces

Cause: the pace changes many times a second, and a single report was taken as the pace of the next requests.

Change: a report has half of the weight against the earlier ones.

--- a/workload/server.go
+++ b/workload/server.go
@@ -11,6 +11,9 @@
 	paceMemory = 400 * time.Millisecond
 	// paceSmoothing is the weight of a reported pace in the mean.
 	paceSmoothing = 0.05
+	// paceWeight is the weight of a reported pace in the one that is expected next. The figure
+	// changes many times a second: if it deviates by 0.8 of itself, half the weight is better.
+	paceWeight = 0.5
 	// factorSmoothing is the weight of a measured time in the factor of a server, which differs
 	// from one by tenths for a server that is always slower.
 	factorSmoothing = 0.06
@@ -55,8 +58,8 @@
 type Server struct {
 	// sends holds the requests of this entry that have not begun.
 	sends []Send
-	// pace is the last reported pace, meanPace the mean, and paceAt when the last one arrived,
-	// zero without any.
+	// pace is the average of the last reported paces, meanPace that of more of them, and paceAt when
+	// the last one arrived, zero without any.
 	pace, meanPace float64
 	paceAt         time.Time
 	// factor is measured over predicted times to the first event, 0 without any.
@@ -97,11 +100,12 @@
 		return
 	}
 	pace = min(max(pace, minPace), maxPace)
+	expected := s.Pace(now)
 	if s.paceAt.IsZero() {
-		s.meanPace = pace
+		s.meanPace, expected = pace, pace
 	}
 	s.meanPace += paceSmoothing * (pace - s.meanPace)
-	s.pace, s.paceAt = pace, now
+	s.pace, s.paceAt = expected+paceWeight*(pace-expected), now
 }
 
 // Pace returns the expected time of work at the server in relation to the usual one.
--- a/workload/workload_test.go
+++ b/workload/workload_test.go
@@ -97,7 +97,9 @@
 	}
 	var usual, slow, late, silent workload.Server
 	slow.RecordLoad(start, 0, 1)
-	slow.RecordLoad(start, 0, 2.5)
+	for range 2 {
+		slow.RecordLoad(start, 0, 2.5)
+	}
 	for range 50 {
 		late.RecordFirstEvent(start, 100*time.Millisecond, 130*time.Millisecond)
 	}
