schedule: leave a slot to the most urgent rank while it is refused

Change: the other ranks may use nine tenths of the slots while less than 0.95 of the most urgent one is served.

--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -34,6 +34,11 @@
 	// entry sent it. overservedEngineShare is the share of the slots that an overserved rank may use.
 	engineOvercommit      = 1
 	overservedEngineShare = 0.67
+	// yieldingEngineShare is the share of the slots that ranks below the most urgent one may use
+	// while less than urgentServedShare of that one is served. It leaves one slot of twelve, which
+	// is what the urgent rank lost when the others could use all.
+	yieldingEngineShare = 0.9
+	urgentServedShare   = 0.95
 	// inTimeShare is the share of the time left until the target that the predicted time to the
 	// first event may take, and overservedTimeShare that for an overserved rank. The rest covers
 	// the error of the prediction.
@@ -234,6 +239,8 @@
 	}
 	if request.Rank == 0 {
 		overcommit = engineOvercommit
+	} else if urgent := s.ranks[0]; urgent != nil && urgent.served.ratio() < urgentServedShare {
+		overcommit = int(math.Ceil(float64(slots)*yieldingEngineShare)) - slots
 	}
 	if s.engine.isLong(request) && s.engine.favorsLong() {
 		return left * longTimeShare, overcommit + longOvercommit
