--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -50,7 +50,9 @@
 	service       string
 	workspace     string
 	rank          int
-	received      time.Time
+	// allowedRegions are the regions that both the route and the workspace allow.
+	allowedRegions catalog.RegionSet
+	received       time.Time
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 	// configurationAge is the age that the copy of the configuration had at most when the
@@ -106,6 +108,8 @@
 	// passedOnBytes is the number of bytes of a streamed response that were passed on to the HTTP
 	// server, which writes them to the caller.
 	passedOnBytes int
+	// retryAfter is the delay that the response to a refused request states, 0 if none.
+	retryAfter time.Duration
 	// finished is set once the end of the request is recorded.
 	finished bool
 }
@@ -202,7 +206,7 @@
 		}
 		return result.UnknownService.Error("no route")
 	}
-	r.rank = r.route.Rank
+	r.rank, r.allowedRegions = r.route.Rank, r.route.AllowedRegions
 	if r.configuration.NeedsKey() && !r.route.Public {
 		workspace := r.configuration.Workspace(r.APIKey)
 		switch {
@@ -214,6 +218,7 @@
 			return result.Unauthenticated.Error("no workspace has the key")
 		}
 		r.workspace = workspace.Name
+		r.allowedRegions = r.allowedRegions.Intersect(workspace.AllowedRegions)
 	}
 	r.fingerprint = requestFingerprint(&r.ctx.Request, r.APIKey)
 	if failure := i.checkCrashes(r); failure != nil {
@@ -293,6 +298,7 @@
 	response.Header.Set(result.HeaderResult, failure.Code.String())
 	response.Header.Set(result.HeaderRan, string(failure.Code.Ran))
 	if failure.RetryAfter > 0 {
+		r.retryAfter = failure.RetryAfter
 		response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 	response.SetBody(failure.Body())
@@ -367,6 +373,9 @@
 	if r.workspace != "" {
 		fields = append(fields, zap.String("workspace", r.workspace))
 	}
+	if r.allowedRegions != nil {
+		fields = append(fields, zap.Strings("allowed-regions", r.allowedRegions.Names()))
+	}
 	if r.framing != "" {
 		fields = append(fields, zap.String("framing", r.framing))
 	}
@@ -379,6 +388,9 @@
 	if detail != "" {
 		fields = append(fields, zap.String("detail", detail))
 	}
+	if r.retryAfter > 0 {
+		fields = append(fields, zap.Duration("retry-after", r.retryAfter))
+	}
 	fields = append(fields, i.stopFields()...)
 	i.requestLog.write("request ended", fields)
 }
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -28,15 +28,28 @@
 	// that the copy lacked before the read, or catalog.UnknownTime. It can be later than the
 	// time of confirmation, which counts from the sending of a read.
 	unchangedUntil time.Duration
-	// declaredAt holds, by key, when the versions were declared whose records are in the batch.
+	// countStart is the bound of Mirror.countStart after the read, for versions that the copy lacked.
+	countStart time.Duration
+	// declaredAt holds, by record, when the versions were declared whose records are in the batch.
 	// A version may have been known before the read, so its date may be earlier than what
 	// recordWrittenAt returns.
-	declaredAt map[string]time.Duration
+	declaredAt map[recordID]time.Duration
+	// restoredAt is as in the topicFollower.
+	restoredAt time.Duration
 	// relayDelay is how long failed reads through other daemons have taken since the copy was
 	// confirmed, 0 if a source has shown since that the registry does not answer.
 	relayDelay time.Duration
 }
 
+// recordID identifies a record of a batch. A batch can have several records of a key.
+type recordID struct {
+	key    string
+	offset int64
+}
+
+// idOf returns the identity of a record of a batch.
+func idOf(record fuchsiarouter.KeyedRecord) recordID { return recordID{record.Key, record.Offset} }
+
 // confirmedAt returns the boot time as of which a read that is not partial confirms the copy.
 func (b *topicBatch) confirmedAt() time.Duration { return b.sentAt - b.Age }
 
@@ -198,6 +211,7 @@
 	if batch.receivedAt < f.restoredAt+restorationGrace {
 		f.mirror.keepNewer(f.topic, &batch)
 	}
+	batch.restoredAt = f.restoredAt
 	f.apply(batch)
 	f.mirror.raiseEpoch(batch.Epoch)
 	// The records are stored before the confirmation: readers take the age of the copy
@@ -215,6 +229,9 @@
 	if until := batch.noLaterRecordAt(wait); until >= f.restoredAt+reregisterGrace {
 		// Before that, the absence of a record that a restoration has lost says nothing.
 		f.unchangedUntil = max(f.unchangedUntil, until)
+		if f.topic == fuchsiarouter.TopicOperator {
+			f.mirror.countStart.recordAbsence(until)
+		}
 	}
 	f.relayDelay, f.registryFailed = 0, false
 }
@@ -245,6 +262,10 @@
 	var read fuchsiarouter.KeyedBatch
 	var err error
 	partial := false
+	var check *runCheck
+	if source == fuchsiarouter.TopicReader(f.mirror.registry) {
+		check = startRunCheck(f.mirror.settings.Clock, sent)
+	}
 	if f.complete {
 		read, err = source.ReadNewest(f.topic)
 	} else {
@@ -256,6 +277,13 @@
 			read.End = end
 		}
 	}
+	received := f.mirror.settings.Clock()
+	if check != nil {
+		f.mirror.recordReadError(err, sent, received, check.end(received))
+	}
+	if err == nil && read.Epoch != f.next.Epoch && f.topic == fuchsiarouter.TopicOperator {
+		f.mirror.countStart.recordRestoration(received)
+	}
 	switch {
 	case err != nil:
 	case read.Relayed && read.Epoch < f.next.Epoch:
@@ -269,8 +297,8 @@
 		err = &fuchsiarouter.ExpiredError{OldestOffset: read.End}
 	}
 	batch := topicBatch{
-		KeyedBatch: read, complete: f.complete || read.Complete, partial: partial, sentAt: sent, receivedAt: f.mirror.settings.Clock(),
-		unchangedUntil: f.unchangedUntil, declaredAt: map[string]time.Duration{},
+		KeyedBatch: read, complete: f.complete || read.Complete, partial: partial, sentAt: sent, receivedAt: received,
+		unchangedUntil: f.unchangedUntil, countStart: f.mirror.countStart.bound(), declaredAt: map[recordID]time.Duration{},
 	}
 	if err == nil && read.Relayed && read.Epoch == f.next.Epoch && batch.confirmedAt() <= time.Duration(f.confirmed.Load()) {
 		err = errStale
--- a/registry.go
+++ b/registry.go
@@ -12,7 +12,8 @@
 
 // The topics.
 const (
-	// TopicOperator holds the configuration and the declared weight versions.
+	// TopicOperator holds the configuration, the declared weight versions and the evacuated
+	// availability zones.
 	TopicOperator Topic = iota
 	// TopicServers holds the registrations of backend servers.
 	TopicServers
@@ -62,17 +63,37 @@
 	Records  []KeyedRecord
 }
 
-// OperatorChange is the decoded content of one record of TopicOperator: either a
-// configuration, or the declared version of a model. All fields are empty if the key is
-// unknown to this project.
+// OperatorChange is the decoded content of one record of TopicOperator: a configuration, the
+// declared version of a model, or the evacuation of an availability zone or its end. All fields are
+// empty if the key is unknown to this project.
 type OperatorChange struct {
 	Configuration *catalog.Configuration
 	// Model is the name of a model, and Version the number of the version of its weights
 	// that the servers of the model have to load.
 	Model   string
 	Version int
+	// EvacuatedZone is the name of an availability zone. If Evacuated is set, its servers must get
+	// no further requests; otherwise the record is removed, and they get requests again.
+	EvacuatedZone string
+	Evacuated     bool
 }
 
+// UnavailableError is the error of a read that the registry refused or did not answer, for a reason
+// that has nothing to do with the read or the daemon that sent it. Only reads of the registry itself
+// return it.
+type UnavailableError struct {
+	// Refused is set if the registry refused the read explicitly. Otherwise it did not answer,
+	// which may also be the result of a pause of this process.
+	Refused bool
+	Err     error
+}
+
+// Error implements error.
+func (e *UnavailableError) Error() string { return e.Err.Error() }
+
+// Unwrap returns the cause.
+func (e *UnavailableError) Unwrap() error { return e.Err }
+
 // TopicReader reads topics, either from the platform or through a relaying daemon.
 type TopicReader interface {
 	// Read returns the records from the position on, up to the end of the topic. If there
--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -202,6 +202,7 @@
 // assign counts a request as in flight at the server that was selected for it.
 func (s *Scheduler) assign(now time.Time, svc *service, selected *server, request *Request) {
 	selected.localRequests++
+	s.reserveCold(selected)
 	if svc.countsEngineTime(now, request) {
 		selected.work.Add(workload.Send{
 			Request: request, Reading: svc.engine.model.Reading(request.PromptTokens),
@@ -275,7 +276,7 @@
 			inZone++
 		}
 		elsewhere := candidate.work.Elsewhere(now, candidate.requestsElsewhere)
-		if candidate.localRequests+elsewhere >= max(candidate.Slots, 1)+overcommit {
+		if candidate.localRequests+elsewhere >= max(candidate.Slots, 1)+overcommit || !s.coldAllows(candidate) {
 			continue
 		}
 		switch {
@@ -420,7 +421,7 @@
 func (s *Scheduler) dispatchByEngineTime(now time.Time, svc *service) {
 	skipped := map[*Request]bool{}
 	for len(skipped) < maxSkippedInQueue {
-		request := svc.nextQueued(skipped)
+		request := svc.nextFair(now, svc.nextQueued(skipped), skipped)
 		if request == nil {
 			return
 		}
@@ -431,6 +432,7 @@
 		}
 		s.assign(now, svc, selected, request)
 		s.Cancel(request)
+		svc.fair.serve(request)
 		rank := svc.rankState(request.Rank)
 		rank.dispatchRate.count(now)
 		if request.queuePriority == request.Rank && len(request.TriedServers) == 0 {
