--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -225,6 +225,8 @@
 	unknownNames unknownNames
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
+	// loadMalformed is set after the first load of a server that cannot be read.
+	loadMalformed atomic.Bool
 	// coldMalformed is set after the first cold time outside the range.
 	coldMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
@@ -368,6 +370,9 @@
 	i.reportUnknownZones(view)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if view.Configuration != nil {
+		i.scheduler.SetServices(view.Configuration.Services)
+	}
 	i.applyColdServices(view)
 	i.scheduler.SetEvacuatedZones(time.Now(), view.EvacuatedZones)
 	i.scheduler.SetServers(time.Now(), view.Servers)
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -38,6 +38,11 @@
 	// OutputTokens is the maximum number of tokens that the request asks the model to
 	// generate, 0 if unspecified.
 	OutputTokens int
+	// PromptTokens is the number of tokens of the prompt, 0 if unspecified.
+	PromptTokens int
+	// GapTarget is the target for the longest pause between the events of the response, 0
+	// without one.
+	GapTarget time.Duration
 	// AllowedRegions are the regions in which the request may be served. Nil allows all.
 	AllowedRegions catalog.RegionSet
 	// TriedServers are the IDs of the servers that the request was already sent to.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -327,10 +327,12 @@
 	countsForShare := len(request.TriedServers) == 0 && !late
 	if countsForShare {
 		rank.served.countRequest(now)
+		if svc.countsEngineTime(now, request) {
+			svc.engine.countPrompt(now, request, (*servedShare).countRequest)
+		}
 	}
 	if selected := s.selectFair(now, svc, request); selected != nil {
-		selected.localRequests++
-		s.reserveCold(selected)
+		s.assign(now, svc, selected, request)
 		svc.fair.serve(request)
 		rank.dispatchRate.count(now)
 		if countsForShare {
@@ -348,6 +350,12 @@
 		request.queuePriority += lateRankPenalty
 		request.queueDeadline = now.Add(min(maxLateWait, request.Deadline.Sub(now)/4))
 	}
+	var deficit time.Duration
+	s.lastSequence++
+	request.sequence = s.lastSequence
+	if svc.countsEngineTime(now, request) {
+		deficit = svc.prepareQueueing(now, request)
+	}
 	if latestDispatch := request.AbandonAt.Add(-rank.timeToFirstEvent); !request.AbandonAt.IsZero() && latestDispatch.Before(request.queueDeadline) {
 		request.queueDeadline = latestDispatch
 	}
@@ -358,12 +366,10 @@
 		return refusal
 	}
 	wait := svc.fair.wait(request, svc.waitInRegions(request, svc.expectedWait(now, request)))
-	if now.Add(wait).After(request.queueDeadline) {
+	if deficit > 0 || now.Add(wait).After(request.queueDeadline) {
 		svc.fair.refuse(request)
-		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, wait)}
+		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, max(wait, deficit))}
 	}
-	s.lastSequence++
-	request.sequence = s.lastSequence
 	request.queued = true
 	position, _ := slices.BinarySearchFunc(svc.queue, request, compareQueueOrder)
 	svc.queue = slices.Insert(svc.queue, position, request)
@@ -426,6 +432,10 @@
 	if len(svc.queue) == 0 {
 		return
 	}
+	if svc.engine.isOn(now) {
+		s.dispatchByEngineTime(now, svc)
+		return
+	}
 	skipped := map[*Request]bool{}
 	for {
 		request := svc.nextFair(now, svc.nextQueued(skipped), skipped)
@@ -440,8 +450,7 @@
 			skipped[request] = true
 			continue
 		}
-		selected.localRequests++
-		s.reserveCold(selected)
+		s.assign(now, svc, selected, request)
 		s.Cancel(request)
 		svc.fair.serve(request)
 		rank := svc.rankState(request.Rank)
