ingress: read bodies piece by piece under a memory budget

Cause: the HTTP server read bodies of up to 16 MiB before the handler ran, and large responses were held without a bound while callers did not read them.

Change: bodies are streamed and read under one budget of 40 % of limits.memoryMb, from which 40 KiB for each connection of a caller are taken. A body above the limit is refused with 413 when its announced length or its read bytes pass the limit; under pressure the bodies with the least recent progress are refused with 503 and the new code 2014, and the connection is closed after a part of the rest was discarded, so that the response arrives. Short bodies of known length (8 KiB) are taken from the buffer of the HTTP server as before. Large responses wait for room while they are read from the server, and are cut off when their callers do not read them. Writes to callers have a timeout of 10 s. Connections of callers are bounded by memory and by limits.maxFds, which is read now. Control servers take no bodies above 4 KiB.

--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -64,7 +64,7 @@
 			PeerAddress:   node.PeerAddress(node.IP, ingressPortIndex),
 			KeyRevocation: node.KeyRevocation, StopGrace: node.StopGrace, VersionDeadline: node.VersionDeadline,
 			DirectoryTTL: node.DirectoryTTL, LinkBytesPerSecond: node.LinkBytesPerSecond, Cores: node.Cores, ResendRatio: node.ResendRatio, ResendAllowance: node.ResendAllowance,
-			ResendWindow: node.ResendWindow,
+			ResendWindow: node.ResendWindow, MemoryBytes: node.MemoryMB << 20, MaxDescriptors: node.MaxDescriptors,
 		}, platform.Dialect{}, platform.NewRegistry(node.RegistryAddress),
 			ingress.Handlers{Directory: platform.DirectoryHandler, Readiness: platform.ReadinessHandler}, log, metrics)
 	})
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -84,7 +84,7 @@
 			i.recordSound(r)
 		}
 		i.copyResponseHead(r, response)
-		r.ctx.Response.SetBodyRaw(body)
+		i.setResponseBody(r, body)
 		response.http.Close()
 		i.releaseServer(r, response.server.ID, schedule.Completed)
 		r.stopCallerWatch()
@@ -423,6 +423,9 @@
 func (i *Ingress) bodyProgress(r *request) func(total int) {
 	recorded := 0
 	return func(total int) {
+		if total > largeResponseBytes {
+			i.awaitResponseMemory(r, total)
+		}
 		if steps := total / progressBytes; steps > recorded {
 			recorded = steps
 			// If a hedge has replaced the attempt, the next read fails.
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/budget"
 	"github.com/fuchsiarouter/fuchsiarouter/caller"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 	"github.com/fuchsiarouter/fuchsiarouter/result"
@@ -104,6 +105,12 @@
 	// passedOnBytes is the number of bytes of a streamed response that were passed on to the HTTP
 	// server, which writes them to the caller.
 	passedOnBytes int
+	// bodyHold is the memory of the body, nil if the body is short.
+	bodyHold *budget.Hold
+	// responseHold is the memory of a large response while it is read, and responseBytes the part
+	// of the response for which it has room.
+	responseHold  *budget.Hold
+	responseBytes int
 	// finished is set once the end of the request is recorded.
 	finished bool
 }
@@ -139,7 +146,10 @@
 	if i.draining.Load() || int(i.callerServer.GetOpenConnectionsCount()) > i.settings.MaxKeptConnections {
 		ctx.SetConnectionClose()
 	}
-	failure := i.admit(r)
+	failure := i.readBody(r)
+	if failure == nil {
+		failure = i.admit(r)
+	}
 	if failure == nil {
 		i.cancelAtStop(r)
 		r.callerWatch = caller.New(ctx.Conn(), callerWatchDelay)
@@ -330,6 +340,7 @@
 		return
 	}
 	r.finished = true
+	r.releaseBody()
 	i.inFlight.Add(-1)
 	if code != result.OK && r.callerCtx != nil && errors.Is(context.Cause(r.callerCtx), errStopped) {
 		i.requestsEndedByStop.Add(1)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -48,8 +48,8 @@
 	// headBufferBytes is the buffer size for the head of a request. The platform allows
 	// heads of up to 16 KiB.
 	headBufferBytes = 20 << 10
-	// maxBodyBytes bounds the request bodies that the HTTP server reads. The limit of the
-	// configuration, which can change at any time, is applied after that.
+	// maxBodyBytes bounds the request bodies whatever the configuration, which can change at any
+	// time, allows.
 	maxBodyBytes = 16 << 20
 	// idleTimeout is the time without a request after which a connection is closed,
 	// because its caller may be gone without having closed it. Callers keep a connection
@@ -59,6 +59,8 @@
 	// before they are closed after a response. The others are for the connections to servers and
 	// daemons, and for those of callers that are being served.
 	callerConnectionShare = 0.5
+	// maxControlBodyBytes bounds the bodies of requests other than those of callers, which have none.
+	maxControlBodyBytes = 4 << 10
 	// readTimeout bounds the time for reading one request.
 	readTimeout = 20 * time.Second
 	// keyRevocationMargin is subtracted from Settings.KeyRevocation to get the age up to
@@ -124,8 +126,13 @@
 	ResendAllowance float64
 	ResendWindow    time.Duration
 	// MaxKeptConnections is the number of open connections of callers above which connections are
-	// closed after a response. With 0, it follows from the descriptors of the process.
+	// closed after a response. With 0, it follows from the descriptors and the memory of the process.
 	MaxKeptConnections int
+	// MemoryBytes is the memory of the process, which is killed when it exceeds it, and
+	// MaxDescriptors the number of descriptors that it may open. With 0, the memory is not limited
+	// and the descriptors are those that the operating system allows.
+	MemoryBytes    int
+	MaxDescriptors int
 }
 
 // Handlers creates the platform-specific HTTP handlers.
@@ -150,7 +157,9 @@
 	// mirror is this entry's copy of the registry.
 	mirror *mirror.Mirror
 	// upstream holds the connections to the backend servers.
-	upstream   *exchange.Client
+	upstream *exchange.Client
+	// memory bounds what is held for callers and servers.
+	memory     *memoryGuard
 	log        *zap.Logger
 	requestLog *requestLog
 	metrics    requestMetrics
@@ -240,9 +249,8 @@
 		declaredVersions: map[string][]catalog.DeclaredVersion{}, peerHTTP: relay.NewHTTPClient(), startedUnixMs: time.Now().UnixMilli(),
 		stop: make(chan struct{}), rosterRead: make(chan struct{}), rosterWaitOver: make(chan struct{}),
 	}
-	if i.settings.MaxKeptConnections == 0 {
-		i.settings.MaxKeptConnections = int(callerConnectionShare * float64(tcp.DescriptorLimit()))
-	}
+	i.settings.MaxKeptConnections, _ = connectionLimits(settings)
+	i.memory = newMemoryGuard(settings.MemoryBytes, func() int { return int(i.callerServer.GetOpenConnectionsCount()) }, log, metrics.Scope)
 	i.lifetime, i.endLifetime = context.WithCancelCause(context.Background())
 	i.unanswered, i.endUnanswered = context.WithCancelCause(i.lifetime)
 	time.AfterFunc(rosterWait, func() { close(i.rosterWaitOver) })
@@ -288,10 +296,11 @@
 
 // listen starts the HTTP servers and opens the socket for status messages.
 func (i *Ingress) listen(handlers Handlers, metrics telemetry.Metrics) error {
+	_, maxConnections := connectionLimits(i.settings)
 	i.callerServer = &fasthttp.Server{
-		Handler: i.serve, ErrorHandler: i.handleParseError,
-		ReadBufferSize: headBufferBytes, MaxRequestBodySize: maxBodyBytes,
-		IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
+		Handler: i.serve, ErrorHandler: i.handleParseError, HeaderReceived: i.configureRequest,
+		ReadBufferSize: headBufferBytes, MaxRequestBodySize: maxBodyBytes, StreamRequestBody: true,
+		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: responseWriteTimeout, Concurrency: maxConnections,
 		// A multipart form that is parsed is not forwarded byte for byte: fasthttp writes it anew.
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true, NoDefaultDate: true, NoDefaultContentType: true,
@@ -335,7 +344,7 @@
 // platform, and for the directory.
 func newControlServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handler, IdleTimeout: time.Minute, ReadTimeout: readTimeout,
+		Handler: handler, IdleTimeout: time.Minute, ReadTimeout: readTimeout, MaxRequestBodySize: maxControlBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true,
 	}
 }
@@ -372,6 +381,7 @@
 			i.scheduler.Tick(now)
 			i.mu.Unlock()
 			i.checkStalls(now)
+			i.memory.Trim(now)
 			if now.Sub(lastSweep) > time.Second {
 				lastSweep = now
 				servers := i.mirror.View().Servers
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -110,6 +110,7 @@
 	c.inFlight.Update(float64(i.inFlight.Load()))
 	c.configurationAge.Update(i.mirror.OperatorAge().Seconds())
 	c.serverConnections.Update(float64(i.upstream.OpenConnections()))
+	i.memory.held.Update(float64(i.memory.Used()))
 }
 
 // peerHandler returns the HTTP handler for other daemons: records serves their reads of
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -75,6 +75,8 @@
 	hasMore bool
 	// atEOF is set once the server's response has ended.
 	atEOF bool
+	// writeDeadlineSet is the time at which the write deadline of the caller was last set.
+	writeDeadlineSet time.Time
 	// finished is set once the server is released and the end of the request recorded.
 	finished bool
 	// firstEventAt is the time at which the first event was read.
@@ -114,6 +116,7 @@
 	r.timeToFirstEvent = e.firstEventAt.Sub(r.received)
 	i.metrics.recordFirstEvent(r.timeToFirstEvent)
 	i.copyResponseHead(r, e.response)
+	e.extendWriteDeadline(e.firstEventAt)
 	r.ctx.Response.SetBodyStream(e, -1)
 	return nil
 }
@@ -137,6 +140,7 @@
 		grown := make([]byte, len(e.buffered), 2*cap(e.buffered)+streamReadBytes)
 		copy(grown, e.buffered)
 		e.buffered = grown
+		e.holdStream(cap(grown))
 	}
 	before := len(e.buffered) - e.completeBytes
 	n, err := e.response.http.Read(e.buffered[len(e.buffered):cap(e.buffered)])
@@ -248,6 +252,7 @@
 	}
 	for e.completeBytes == 0 {
 		if e.atEOF {
+			e.extendWriteDeadline(time.Now())
 			return 0, io.EOF
 		}
 		if err := e.fill(); err != nil {
@@ -256,13 +261,15 @@
 			}
 		}
 	}
-	switch now := time.Now(); {
+	now := time.Now()
+	e.extendWriteDeadline(now)
+	switch {
 	case e.answerBegan.IsZero():
 		e.answerBegan = now
 	case now.Sub(e.answerBegan) >= soundAnswerAge:
 		e.ingress.recordSound(e.request)
 	}
-	e.ingress.stallDetector.setWaiting(time.Now(), e.request.activeAttempt, false)
+	e.ingress.stallDetector.setWaiting(now, e.request.activeAttempt, false)
 	n := copy(buffer, e.buffered[:e.completeBytes])
 	e.request.passedOnBytes += n
 	remaining := copy(e.buffered, e.buffered[n:])
--- a/result/result.go
+++ b/result/result.go
@@ -101,6 +101,8 @@
 	// ServersPaused means that all backend servers which could run the request have asked for a
 	// pause.
 	ServersPaused = Code{2012, "servers-paused", 503, RanNo, RetryYes}
+	// MemoryShort means that the entry has no memory for the body of the request.
+	MemoryShort = Code{2014, "memory-short", 503, RanNo, RetryYes}
 	// ServerLost means that no response of the backend server arrived, for example because
 	// the connection broke.
 	ServerLost = Code{3001, "server-lost", 502, RanMaybe, RetryIfIdempotent}
@@ -130,7 +132,7 @@
 		OK, Malformed, Unauthenticated, RankNotAllowed, UnknownModel, UnknownService,
 		BodyTooLarge, KeyRequired, KeyMalformed, KeyExpired, KeyReused, HeadTooLarge, RateLimited, TooManyInProgress,
 		QueueFull, DeadlineUnreachable, NoServer, Leaving, LogUnavailable, VersionNotLoaded,
-		NotReady, Preempted, CallerLeft, ServersPaused, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
+		NotReady, Preempted, CallerLeft, ServersPaused, MemoryShort, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
 		Quarantined, CrashedServers, Internal,
 	}
 }
--- a/standin/platformtest/memory_test.go
+++ b/standin/platformtest/memory_test.go
@@ -299,3 +299,65 @@
 		})
 	}
 }
+
+// largeResponseBytes is the size of the responses that slow readers request.
+const largeResponseBytes = 7 << 20
+
+// TestMemoryWithSlowReaders guards against an entry that exceeds its memory because many callers do
+// not read their responses.
+func TestMemoryWithSlowReaders(t *testing.T) {
+	p := startEntryProcess(t)
+	p.removeServers(p.plainServers)
+	p.newScriptedServer("s0", "plain", func(request *http.Request) string {
+		size := 4
+		if strings.HasSuffix(request.URL.Path, "/large") {
+			size = largeResponseBytes
+		}
+		return frame(request, "length", "200 OK", strings.Repeat("a", size))
+	})
+	awaitRegistrations()
+	end := time.Now().Add(hostileTime)
+	p.run(func(_ int, conn net.Conn) {
+		// The buffers of the sockets hold less than the response.
+		_ = conn.(*net.TCPConn).SetReadBuffer(64 << 10)
+		_, _ = fmt.Fprintf(conn, "GET /report/large HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: %x\r\n\r\n",
+			time.Now().UnixNano())
+		// A caller that was refused asks again. Another one reads nothing but the beginning.
+		beginning := make([]byte, len("HTTP/1.1 200"))
+		if _, err := io.ReadFull(conn, beginning); err == nil && string(beginning) == "HTTP/1.1 200" {
+			time.Sleep(time.Until(end))
+		}
+		_ = conn.Close()
+	})
+}
+
+// TestOrdinaryBodiesBesideHostileOnes guards against a process that no longer answers ordinary
+// callers, or that runs requests whose bodies did not end, while large bodies fill its memory.
+func TestOrdinaryBodiesBesideHostileOnes(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := startEntryProcess(t)
+	stop := make(chan struct{})
+	var ordinary sync.WaitGroup
+	served, asked := 0, 0
+	ordinary.Go(func() {
+		for {
+			select {
+			case <-stop:
+				return
+			default:
+			}
+			asked++
+			if status, _, _, err := p.send("POST", "/book/ordinary", "k1", strings.Repeat("b", 4<<10)); err == nil && status == http.StatusOK {
+				served++
+			}
+		}
+	})
+	p.run(func(number int, conn net.Conn) { hostileLoads[number%len(hostileLoads)].send(conn) })
+	close(stop)
+	ordinary.Wait()
+	t.Logf("%d of %d ordinary requests served", served, asked)
+	g.Expect(served).To(gomega.BeNumerically(">", 0))
+	for _, run := range p.allRuns(p.plainServers) {
+		g.Expect(run.URI).NotTo(gomega.ContainSubstring("hostile"))
+	}
+}
