statusline: reject responses whose status is not from 100 to 599

The status cannot be checked after the head was read.

Change: package statusline checks the status before a head is parsed. exchange uses it on its reader; the clients of fasthttp in upstream, platform, relay, loader and transfer use it on their connections, where it changes the last digit of an invalid status, so that the head is treated like any other bytes that are no response. Informational responses are as before. A test finds clients without the check.

Measured: TestInvalidStatus of exchange, upstream and platform, TestClientsCheckStatus and TestInvalidStatusIsNoAnswer (all four cases) failed before the change and pass with it. go test ./platform ./exchange ./upstream ./statusline ./relay ./loader ./transfer passes, and TestEndless*, TestForwards*, TestRepeated*, TestStreamResumes of standin/platformtest.

--- a/exchange/response.go
+++ b/exchange/response.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/fuchsiarouter/fuchsiarouter/statusline"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -61,6 +62,9 @@
 		r.raw = fasthttp.AcquireResponse()
 		r.Header = &r.raw.Header
 		r.Header.SetNoDefaultContentType(true)
+		if err := statusline.Check(r.conn.reader); err != nil {
+			return err
+		}
 		if err := r.Header.Read(r.conn.reader); err != nil {
 			return err
 		}
--- a/loader/fetch.go
+++ b/loader/fetch.go
@@ -13,6 +13,7 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+	"github.com/fuchsiarouter/fuchsiarouter/statusline"
 	"github.com/fuchsiarouter/fuchsiarouter/supply"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
@@ -68,7 +69,13 @@
 // source is excluded for a while and its pieces are reassigned.
 func newPeerHTTP() *fasthttp.Client {
 	return &fasthttp.Client{
-		Dial:                      func(address string) (net.Conn, error) { return tcp.Dial(address, pieceTimeout) },
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := tcp.Dial(address, pieceTimeout)
+			if err != nil {
+				return nil, err
+			}
+			return statusline.NewConn(conn), nil
+		},
 		MaxResponseBodySize:       maxPeerResponseBytes,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,6 +19,7 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
+	"github.com/fuchsiarouter/fuchsiarouter/statusline"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -80,7 +81,13 @@
 // retry.
 func NewHTTPClient() *fasthttp.Client {
 	return &fasthttp.Client{
-		Dial:                      func(address string) (net.Conn, error) { return tcp.Dial(address, timeoutMargin) },
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := tcp.Dial(address, timeoutMargin)
+			if err != nil {
+				return nil, err
+			}
+			return statusline.NewConn(conn), nil
+		},
 		MaxResponseBodySize:       maxResponseBytes,
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -27,6 +27,7 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/spread"
+	"github.com/fuchsiarouter/fuchsiarouter/statusline"
 	"github.com/fuchsiarouter/fuchsiarouter/upstream"
 	"github.com/fuchsiarouter/fuchsiarouter/weights"
 )
@@ -279,11 +280,11 @@
 		return nil, errors.New("transfer is closed")
 	}
 	t.conns[conn] = struct{}{}
-	return &trackedConn{Conn: conn, onClose: func() {
+	return statusline.NewConn(&trackedConn{Conn: conn, onClose: func() {
 		t.mu.Lock()
 		delete(t.conns, conn)
 		t.mu.Unlock()
-	}}, nil
+	}}), nil
 }
 
 // trackedConn is a connection that calls onClose when it is closed.
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -23,6 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/statusline"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -90,7 +91,13 @@
 		connections: map[string]map[*trackedConn]struct{}{}, inFlight: map[*inFlightRequest]struct{}{}, dialer: NewDialer(source),
 	}
 	client.http = &fasthttp.Client{
-		Dial: client.dial,
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := client.dial(address)
+			if err != nil {
+				return nil, err
+			}
+			return statusline.NewConn(conn), nil
+		},
 		// By default fasthttp retries requests, which could run them twice.
 		MaxIdemponentCallAttempts: 1,
 		RetryIfErr:                func(*fasthttp.Request, int, error) (bool, bool) { return false, false },
@@ -189,7 +196,13 @@
 	request.SetConnectionClose()
 	client := fasthttp.HostClient{
 		Addr: address, MaxIdemponentCallAttempts: 1, MaxResponseBodySize: maxHealthResponseBytes,
-		Dial: func(address string) (net.Conn, error) { return c.dialer.DialTimeout(address, timeout) },
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := c.dialer.DialTimeout(address, timeout)
+			if err != nil {
+				return nil, err
+			}
+			return statusline.NewConn(conn), nil
+		},
 	}
 	return client.DoTimeout(request, response, timeout) == nil
 }
