--- a/standin/platformtest/memory_test.go
+++ b/standin/platformtest/memory_test.go
@@ -361,3 +361,31 @@
 		g.Expect(run.URI).NotTo(gomega.ContainSubstring("hostile"))
 	}
 }
+
+// TestRefusalForMemory guards against dropping a body without telling its caller that the request did
+// not run, and against running it.
+func TestRefusalForMemory(t *testing.T) {
+	g := gomega.NewWithT(t)
+	p := startEntryProcess(t)
+	// All bodies together have 64 MiB, more than the 51 MiB of the budget.
+	const bodies = 16
+	refusals := make(chan *http.Response, bodies)
+	for range bodies {
+		conn := p.dialEntry(g)
+		go func() {
+			sendBytes(conn, memoryBodyLimit, memoryBodyLimit-bytesMissing, memoryBodyLimit, 0)
+			if response, err := http.ReadResponse(bufio.NewReader(conn), nil); err == nil {
+				_ = response.Body.Close()
+				refusals <- response
+			}
+		}()
+	}
+	var response *http.Response
+	g.Eventually(refusals, waitTimeout).Should(gomega.Receive(&response))
+	g.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	g.Expect(response.Header.Get("Fuchsiarouter-Result")).To(gomega.Equal("2014 memory-short"))
+	g.Expect(response.Header.Get("Fuchsiarouter-Ran")).To(gomega.Equal("no"))
+	g.Expect(response.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	g.Expect(response.Close).To(gomega.BeTrue())
+	g.Expect(p.allRuns(p.plainServers)).To(gomega.BeEmpty())
+}
