--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -8,6 +8,7 @@
 
 import (
 	"hash/fnv"
+	"maps"
 	"sort"
 	"strings"
 	"time"
@@ -66,6 +67,8 @@
 	ToModelEngine bool
 	// Resumable is set when streams of the route may continue on another backend server.
 	Resumable bool
+	// AllowedRegions are the regions in which requests of the route may be served.
+	AllowedRegions RegionSet
 }
 
 // IsIdempotent reports whether requests of the route may run more than once.
@@ -100,8 +103,9 @@
 	return r.WeightedServices[0].Service
 }
 
-// Engine describes the model engines of a service as the operators' configuration does. Of
-// its fields, the daemons read only Models and Pieces.
+// Engine describes the model engines of a service as the operators' configuration does. The
+// scheduler of an entry reads the fields on slots, times and token counts where it counts engine
+// time, see package workload; the loader reads Models and Pieces.
 type Engine struct {
 	// Slots is the maximum number of requests that an engine processes in one batch.
 	Slots int
@@ -112,6 +116,14 @@
 	// PromptTokensPerSecond is the number of prompt tokens that an engine processes in a
 	// second.
 	PromptTokensPerSecond float64
+	// ContextTimePerThousand is the time that each request which generates tokens adds to a
+	// step per 1,000 tokens of its context, PairTimePerMillion the time that reading a prompt
+	// takes per million pairs of a token and an earlier token.
+	ContextTimePerThousand time.Duration
+	PairTimePerMillion     time.Duration
+	// PromptTokensPerStep is the maximum number of prompt tokens that an engine reads in one
+	// step, 0 without a limit.
+	PromptTokensPerStep int
 	// StepsPerPass is the number of decoding steps that an engine runs for a batch in one
 	// pass.
 	StepsPerPass int
@@ -143,6 +155,12 @@
 	OriginAddress string
 	// AvailabilityZone is the availability zone of the origin.
 	AvailabilityZone string
+	// ColdTime is how long a backend server is cold after its start, and ColdRate the rate in
+	// requests per second that it can run meanwhile. A service with a ColdRate of 0 has no cold
+	// servers. ColdMalformed reports that the configuration has other values, outside the range.
+	ColdTime      time.Duration
+	ColdRate      float64
+	ColdMalformed bool
 }
 
 // Limits restrict what a caller may send. A size of 0 means no limit.
@@ -163,6 +181,9 @@
 	// Rank is the priority class of the workspace; 0 is the most urgent. No daemon reads
 	// it: a request has the rank of its route.
 	Rank int
+	// AllowedRegions are the regions in which requests of the workspace may be served. A request
+	// may be served only where both its route and its workspace allow it.
+	AllowedRegions RegionSet
 }
 
 // Configuration is the configuration that operators published.
@@ -179,13 +200,15 @@
 	keys map[string]*Workspace
 	// workspaces is the number of workspaces.
 	workspaces int
+	// namedRegions are the regions in the lists of all routes and workspaces.
+	namedRegions RegionSet
 }
 
 // NewConfiguration returns a configuration without routes.
 func NewConfiguration(version int64, limits Limits) *Configuration {
 	return &Configuration{
 		Version: version, Limits: limits, Services: map[string]*Service{},
-		routes: map[string][]*Route{}, keys: map[string]*Workspace{},
+		routes: map[string][]*Route{}, keys: map[string]*Workspace{}, namedRegions: RegionSet{},
 	}
 }
 
@@ -195,11 +218,13 @@
 	routes = append(routes, route)
 	sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	c.routes[route.Host] = routes
+	maps.Copy(c.namedRegions, route.AllowedRegions)
 }
 
 // AddWorkspace adds a workspace and its API keys.
 func (c *Configuration) AddWorkspace(workspace *Workspace, keys []string) {
 	c.workspaces++
+	maps.Copy(c.namedRegions, workspace.AllowedRegions)
 	for _, key := range keys {
 		c.keys[key] = workspace
 	}
@@ -220,6 +245,10 @@
 // routes. It is false while there are no workspaces.
 func (c *Configuration) NeedsKey() bool { return c.workspaces > 0 }
 
+// NamedRegions returns the regions in the lists of allowed regions of all routes and workspaces. It
+// is empty if requests may be served everywhere.
+func (c *Configuration) NamedRegions() RegionSet { return c.namedRegions }
+
 // Workspace returns the workspace that the API key belongs to, or nil.
 func (c *Configuration) Workspace(key string) *Workspace { return c.keys[key] }
 
--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -13,6 +13,7 @@
 	"github.com/urfave/cli/v3"
 	"go.uber.org/zap"
 
+	"github.com/fuchsiarouter/fuchsiarouter/cold"
 	"github.com/fuchsiarouter/fuchsiarouter/ingress"
 	"github.com/fuchsiarouter/fuchsiarouter/loader"
 	"github.com/fuchsiarouter/fuchsiarouter/platform"
@@ -59,12 +60,14 @@
 func runIngress(ctx context.Context, c *cli.Command) error {
 	return runOnPlatform(ctx, c, "ingress", func(node *platform.NodeSettings, log *zap.Logger, metrics telemetry.Metrics) (drainer, error) {
 		return ingress.New(ingress.Settings{
-			Name: node.Name, AvailabilityZone: node.AvailabilityZone, Region: node.Region,
+			Name: node.Name, AvailabilityZone: node.AvailabilityZone, Region: node.Region, Regions: node.Regions,
 			CallerAddress: node.CallerAddress, ReadinessAddress: node.ReadinessAddress, DirectoryAddress: node.DirectoryAddress,
 			PeerAddress:   node.PeerAddress(node.IP, ingressPortIndex),
 			KeyRevocation: node.KeyRevocation, StopGrace: node.StopGrace, VersionDeadline: node.VersionDeadline,
-			DirectoryTTL: node.DirectoryTTL, LinkBytesPerSecond: node.LinkBytesPerSecond, Cores: node.Cores, ResendRatio: node.ResendRatio, ResendAllowance: node.ResendAllowance,
-			ResendWindow: node.ResendWindow, MemoryBytes: node.MemoryMB << 20, MaxDescriptors: node.MaxDescriptors,
+			EvacuationBound: node.EvacuationBound,
+			DirectoryTTL:    node.DirectoryTTL, LinkBytesPerSecond: node.LinkBytesPerSecond, Cores: node.Cores, ResendRatio: node.ResendRatio, ResendAllowance: node.ResendAllowance,
+			ResendWindow: node.ResendWindow, ColdBound: cold.Bound{Excess: node.ColdExcess, Slack: node.ColdSlack},
+			MemoryBytes: node.MemoryMB << 20, MaxDescriptors: node.MaxDescriptors,
 		}, platform.Dialect{}, platform.NewRegistry(node.RegistryAddress),
 			ingress.Handlers{Directory: platform.DirectoryHandler, Readiness: platform.ReadinessHandler}, log, metrics)
 	})
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -60,12 +60,14 @@
 	r.scheduling = schedule.Request{
 		Service: r.service, Rank: r.rank, Workspace: r.workspace, Arrived: r.received,
 		FirstEventTarget: r.received.Add(targetDelay - r.sinceFirstSend), Deadline: r.deadline,
+		AllowedRegions: r.allowedRegions,
 	}
 	if r.route.Patience > 0 {
 		r.scheduling.AbandonAt = r.received.Add(r.route.Patience)
 	}
 	if r.route.ToModelEngine {
 		r.scheduling.Model, r.scheduling.OutputTokens = r.Model, r.MaxOutputTokens
+		r.scheduling.PromptTokens, r.scheduling.GapTarget = r.PromptTokens, r.route.TargetGap
 	}
 	if r.route.Kind == catalog.Stream {
 		return i.runStream(r)
@@ -150,6 +152,7 @@
 	i.mu.Lock()
 	decision := i.scheduler.Submit(submittedAt, &r.scheduling)
 	server := i.scheduler.Server(decision.Server)
+	r.urgency = i.scheduler.Urgency(submittedAt, &r.scheduling)
 	i.mu.Unlock()
 	if decision.Queued {
 		select {
@@ -168,6 +171,7 @@
 		r.queueTime += time.Since(submittedAt)
 		i.mu.Lock()
 		server = i.scheduler.Server(decision.Server)
+		r.urgency = i.scheduler.Urgency(time.Now(), &r.scheduling)
 		i.mu.Unlock()
 	}
 	if decision.Server == "" {
@@ -202,6 +206,8 @@
 	switch decision.Reason {
 	case schedule.NoServer:
 		code = result.NoServer
+	case schedule.RegionUnavailable:
+		code = result.RegionUnavailable
 	case schedule.Expired:
 		code = result.DeadlineUnreachable
 	case schedule.Paused:
@@ -228,7 +234,7 @@
 	body := r.ctx.Request.Body()
 	urgency := -1
 	if r.route.ToModelEngine {
-		urgency = r.rank
+		urgency = r.urgency
 	}
 	head := make([]byte, 0, 1024+len(body))
 	head = i.dialect.AppendHead(head, &r.ctx.Request.Header, fuchsiarouter.UpstreamHeaders{
@@ -259,10 +265,13 @@
 		position: r.position, promptParts: r.PromptParts,
 	}
 	i.stallDetector.add(sentAt, r.activeAttempt)
+	var sending schedule.Sending
 	httpResponse, err := i.upstream.Send(ctx, exchange.Target{Address: server.Address, ID: server.ID, Incarnation: server.Started},
 		text, r.deadline, func(header *fasthttp.ResponseHeader) exchange.Match {
 			reply := i.dialect.ParseResponse(header, r.AttemptID)
 			i.recordAvailability(r, server, reply)
+			i.recordLoad(server, reply)
+			i.recordCold(server, reply)
 			switch {
 			case reply.MatchesRequest:
 				return exchange.Belongs
@@ -270,7 +279,8 @@
 				return exchange.Unidentified
 			}
 			return exchange.Other
-		}, func() bool { return i.stillTakes(server) })
+		}, func() bool { return i.stillTakes(r, server) && i.beginSending(server, &sending) })
+	i.endSending(sending)
 	if err != nil {
 		return nil, err
 	}
@@ -278,9 +288,7 @@
 	if now := time.Now(); i.stallDetector.recordProgress(now, r.activeAttempt) {
 		i.resumeServer(now, server.ID)
 	}
-	i.mu.Lock()
-	i.scheduler.RecordFirstEvent(r.service, r.rank, time.Since(sentAt))
-	i.mu.Unlock()
+	i.recordFirstEvent(r, server.ID, time.Since(sentAt), isSuccess(httpResponse.Header.StatusCode()))
 	return &serverResponse{server: server, http: httpResponse, reply: i.dialect.ParseResponse(httpResponse.Header, r.AttemptID)}, nil
 }
 
@@ -463,5 +471,6 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.scheduler.RemoveSend(server, &r.scheduling)
 	i.scheduler.Release(time.Now(), server, r.service, outcome)
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -51,7 +51,9 @@
 	service       string
 	workspace     string
 	rank          int
-	received      time.Time
+	// allowedRegions are the regions that both the route and the workspace allow.
+	allowedRegions catalog.RegionSet
+	received       time.Time
 	// deadline is the time by which the response must be complete.
 	deadline time.Time
 	// configurationAge is the age that the copy of the configuration had at most when the
@@ -71,6 +73,8 @@
 
 	// scheduling is the request in the form that is submitted to the scheduler.
 	scheduling schedule.Request
+	// urgency is the urgency that the engine of the last attempt is told.
+	urgency int
 	// activeAttempt is set while the request is in flight at a server.
 	activeAttempt *activeAttempt
 	// possibleRuns is the number of failed attempts in which a server may have run the
@@ -111,6 +115,8 @@
 	// of the response for which it has room.
 	responseHold  *budget.Hold
 	responseBytes int
+	// retryAfter is the delay that the response to a refused request states, 0 if none.
+	retryAfter time.Duration
 	// finished is set once the end of the request is recorded.
 	finished bool
 }
@@ -210,7 +216,7 @@
 		}
 		return result.UnknownService.Error("no route")
 	}
-	r.rank = r.route.Rank
+	r.rank, r.allowedRegions = r.route.Rank, r.route.AllowedRegions
 	if r.configuration.NeedsKey() && !r.route.Public {
 		workspace := r.configuration.Workspace(r.APIKey)
 		switch {
@@ -222,6 +228,7 @@
 			return result.Unauthenticated.Error("no workspace has the key")
 		}
 		r.workspace = workspace.Name
+		r.allowedRegions = r.allowedRegions.Intersect(workspace.AllowedRegions)
 	}
 	r.fingerprint = requestFingerprint(&r.ctx.Request, r.APIKey)
 	if failure := i.checkCrashes(r); failure != nil {
@@ -301,6 +308,7 @@
 	response.Header.Set(result.HeaderResult, failure.Code.String())
 	response.Header.Set(result.HeaderRan, string(failure.Code.Ran))
 	if failure.RetryAfter > 0 {
+		r.retryAfter = failure.RetryAfter
 		response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 	response.SetBody(failure.Body())
@@ -376,6 +384,9 @@
 	if r.workspace != "" {
 		fields = append(fields, zap.String("workspace", r.workspace))
 	}
+	if r.allowedRegions != nil {
+		fields = append(fields, zap.Strings("allowed-regions", r.allowedRegions.Names()))
+	}
 	if r.framing != "" {
 		fields = append(fields, zap.String("framing", r.framing))
 	}
@@ -388,6 +399,9 @@
 	if detail != "" {
 		fields = append(fields, zap.String("detail", detail))
 	}
+	if r.retryAfter > 0 {
+		fields = append(fields, zap.Duration("retry-after", r.retryAfter))
+	}
 	fields = append(fields, i.stopFields()...)
 	i.requestLog.write("request ended", fields)
 }
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -55,6 +55,13 @@
 	400 * time.Millisecond, 800 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 6 * time.Second,
 }
 
+// predictionBuckets are the upper bounds of the buckets of the histograms of prediction errors. The
+// targets for first events are some hundreds of milliseconds.
+var predictionBuckets = tally.DurationBuckets{
+	10 * time.Millisecond, 25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	400 * time.Millisecond, 800 * time.Millisecond, 1600 * time.Millisecond,
+}
+
 // requestMetrics holds the metrics of an ingress.
 type requestMetrics struct {
 	scope tally.Scope
@@ -65,31 +72,62 @@
 	// timeToFirstEvent is the time from the arrival of a request to the first event of its
 	// response, for streamed responses only.
 	timeToFirstEvent tally.Histogram
-	inFlight         tally.Gauge
+	// predictedTooShort and predictedTooLong are the amounts by which first events were later and
+	// earlier than predicted, for services that count engine time.
+	predictedTooShort tally.Histogram
+	predictedTooLong  tally.Histogram
+	// firstEvents counts the first events of those services, by the length of the prompt (index 1
+	// if it is longer than the mean) and by whether they met their target (index 1).
+	firstEvents [2][2]tally.Counter
+	inFlight    tally.Gauge
 	// configurationAge is the age of the copy of the configuration, in seconds.
 	configurationAge tally.Gauge
 	// serversLeaving counts the servers that have told this entry that they leave, serverPauses the
 	// pauses that servers have asked it for, and requestsWithheld the requests that were not sent
-	// to a selected server for either reason.
+	// to a selected server for either reason, or because it may no longer get them where it is.
 	serversLeaving   tally.Counter
 	serverPauses     tally.Counter
 	requestsWithheld tally.Counter
+	// coldServers is the number of servers that are cold or in their slow start, and coldWithheld
+	// counts how often one was left out because of its limit. coldWithheldSeen is the count that
+	// coldWithheld has.
+	coldServers      tally.Gauge
+	coldWithheld     tally.Counter
+	coldWithheldSeen uint64
+	// evacuatedZones is the number of evacuated availability zones.
+	evacuatedZones tally.Gauge
+	// otherRegionsListed counts the responses of the directory that list entries of other regions
+	// than the caller's although some requests may be served only in some regions.
+	otherRegionsListed tally.Counter
 	// serverConnections is the number of open connections to backend servers.
 	serverConnections tally.Gauge
 }
 
 func newRequestMetrics(scope tally.Scope) requestMetrics {
+	var firstEvents [2][2]tally.Counter
+	for long, prompt := range []string{"short", "long"} {
+		for met, inTarget := range []string{"no", "yes"} {
+			firstEvents[long][met] = scope.Tagged(map[string]string{"prompt": prompt, "in_target": inTarget}).Counter("first_events")
+		}
+	}
 	return requestMetrics{
-		scope:             scope,
-		statusFailures:    scope.Counter("news_failed"),
-		duration:          scope.Histogram("request_seconds", latencyBuckets),
-		timeToFirstEvent:  scope.Histogram("first_event_seconds", latencyBuckets),
-		inFlight:          scope.Gauge("requests_in_flight"),
-		configurationAge:  scope.Gauge("view_age_seconds"),
-		serversLeaving:    scope.Counter("servers_leaving"),
-		serverPauses:      scope.Counter("server_pauses"),
-		requestsWithheld:  scope.Counter("requests_withheld"),
-		serverConnections: scope.Gauge("server_connections"),
+		scope:              scope,
+		firstEvents:        firstEvents,
+		predictedTooShort:  scope.Histogram("first_event_late_seconds", predictionBuckets),
+		predictedTooLong:   scope.Histogram("first_event_early_seconds", predictionBuckets),
+		statusFailures:     scope.Counter("news_failed"),
+		duration:           scope.Histogram("request_seconds", latencyBuckets),
+		timeToFirstEvent:   scope.Histogram("first_event_seconds", latencyBuckets),
+		inFlight:           scope.Gauge("requests_in_flight"),
+		configurationAge:   scope.Gauge("view_age_seconds"),
+		serversLeaving:     scope.Counter("servers_leaving"),
+		serverPauses:       scope.Counter("server_pauses"),
+		requestsWithheld:   scope.Counter("requests_withheld"),
+		evacuatedZones:     scope.Gauge("evacuated_zones"),
+		otherRegionsListed: scope.Counter("directory_other_regions"),
+		serverConnections:  scope.Gauge("server_connections"),
+		coldServers:        scope.Gauge("servers_cold"),
+		coldWithheld:       scope.Counter("cold_withheld"),
 	}
 }
 
@@ -105,12 +143,40 @@
 	c.timeToFirstEvent.RecordDuration(took)
 }
 
+// recordPrediction records the error of a predicted time to the first event.
+func (c *requestMetrics) recordPrediction(predicted, took time.Duration) {
+	if took >= predicted {
+		c.predictedTooShort.RecordDuration(took - predicted)
+		return
+	}
+	c.predictedTooLong.RecordDuration(predicted - took)
+}
+
+// recordTarget counts a first event of a service that counts engine time.
+func (c *requestMetrics) recordTarget(longPrompt, inTarget bool) {
+	long, met := 0, 0
+	if longPrompt {
+		long = 1
+	}
+	if inTarget {
+		met = 1
+	}
+	c.firstEvents[long][met].Inc(1)
+}
+
 // updateGauges sets the gauges to the current values of the daemon.
 func (c *requestMetrics) updateGauges(i *Ingress) {
 	c.inFlight.Update(float64(i.inFlight.Load()))
 	c.configurationAge.Update(i.mirror.OperatorAge().Seconds())
+	c.evacuatedZones.Update(float64(len(i.mirror.View().EvacuatedZones)))
 	c.serverConnections.Update(float64(i.upstream.OpenConnections()))
 	i.memory.held.Update(float64(i.memory.Used()))
+	i.mu.Lock()
+	coldServers, coldWithheld := i.scheduler.ColdServers(), i.scheduler.ColdWithheld()
+	i.mu.Unlock()
+	c.coldServers.Update(float64(coldServers))
+	c.coldWithheld.Inc(int64(coldWithheld - c.coldWithheldSeen))
+	c.coldWithheldSeen = coldWithheld
 }
 
 // peerHandler returns the HTTP handler for other daemons: records serves their reads of
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -14,6 +14,9 @@
 // of the time at which the read was sent, on a clock that also runs while the VM is
 // suspended; a relayed read confirms it as of that time minus the age of the other copy.
 // The age of the copy is the time since then.
+//
+// A declared version is dated by the last moment at which the topic is known to have lacked it, or
+// by a later disturbance of the registry, see countStart.
 package mirror
 
 import (
@@ -105,10 +108,16 @@
 	// epoch is the latest epoch of the registry of which a topic was read.
 	epoch atomic.Int64
 
+	// countStart bounds from when the time of versions that the next read returns counts.
+	countStart countStart
+
 	// mu serializes the changes of the view and the calls of onChange.
 	mu       sync.Mutex
 	onChange func(*catalog.View)
 
+	// evacuations is used by the loop of the operator's topic only.
+	evacuations evacuations
+
 	// copies holds the records for the daemons that read the topics through this one.
 	copies topicCopies
 
@@ -130,6 +139,13 @@
 	// RelayWait is how long a read of another daemon's copy waits for new records. When it
 	// is 0, such reads use OperatorWait and ServersInterval, as reads of the registry do.
 	RelayWait time.Duration
+	// VersionDeadline is the time after the declaration of a weight version from which no request
+	// may begin on an older one. It counts anew after a disturbance of the registry. If it is 0,
+	// disturbances do not change the dates of versions.
+	VersionDeadline time.Duration
+	// EvacuationBound is the time after the evacuation of an availability zone after which its
+	// servers must get no requests.
+	EvacuationBound time.Duration
 	// Clock is the clock that ages are measured with. It must also run while the VM is
 	// suspended.
 	Clock func() time.Duration
@@ -147,7 +163,8 @@
 	if settings.Clock == nil {
 		settings.Clock = boottime.Now
 	}
-	m := &Mirror{registry: registry, sources: sources, settings: settings, log: log, onChange: onChange, closing: make(chan struct{})}
+	m := &Mirror{registry: registry, sources: sources, settings: settings, log: log, onChange: onChange, countStart: newCountStart(settings.VersionDeadline), closing: make(chan struct{})}
+	m.evacuations = newEvacuations(settings.EvacuationBound)
 	m.view.Store(&catalog.View{})
 	m.operatorConfirmedAt.Store(int64(-time.Hour))
 	m.serversConfirmedAt.Store(int64(-time.Hour))
@@ -236,10 +253,19 @@
 	m.onChange(after)
 }
 
-// applyOperatorRecords updates the view with the configurations and the declarations of
-// weight versions in a read of the operator's topic. Those that are no newer than the ones
-// in the view do not change it. Records that cannot be decoded are logged and skipped.
+// operatorRecord is a record of the operator's topic with its content.
+type operatorRecord struct {
+	fuchsiarouter.KeyedRecord
+	change fuchsiarouter.OperatorChange
+}
+
+// applyOperatorRecords updates the view with the configurations, the declarations of
+// weight versions and the evacuations in a read of the operator's topic. Configurations and versions
+// that are no newer than the ones in the view do not change it. Records that cannot be decoded are
+// logged and skipped. Evacuations come first, so that no view has a configuration without those that
+// were read with it.
 func (m *Mirror) applyOperatorRecords(read topicBatch) {
+	records := make([]operatorRecord, 0, len(read.Records))
 	for _, record := range read.Records {
 		change, err := m.registry.DecodeOperatorChange(record)
 		if err != nil {
@@ -247,11 +273,16 @@
 				zap.Int64("offset", record.Offset), telemetry.Cause(err))
 			continue
 		}
+		records = append(records, operatorRecord{record, change})
+	}
+	m.applyEvacuations(read, records)
+	for _, record := range records {
+		change := record.change
 		if change.Configuration != nil {
 			m.updateView(func(view *catalog.View) *catalog.View { return view.WithConfiguration(change.Configuration) })
 		}
 		if change.Model != "" {
-			for _, declared := range m.declarations(read, record, change) {
+			for _, declared := range m.declarations(read, record.KeyedRecord, change) {
 				m.updateView(func(view *catalog.View) *catalog.View { return view.WithDeclaredVersion(change.Model, declared) })
 			}
 		}
@@ -261,9 +292,9 @@
 		}
 		if change.Model != "" {
 			if declared := m.View().DeclaredVersions[change.Model]; declared.Version == change.Version {
-				read.declaredAt[record.Key] = declared.DeclaredAt
+				read.declaredAt[idOf(record.KeyedRecord)] = declared.DeclaredAt
 			}
-			m.logDeclaration(change, read)
+			m.logDeclaration(change, record.KeyedRecord, read)
 		}
 	}
 }
@@ -272,8 +303,8 @@
 // another daemon lacks the versions that the newest one has replaced, which have an earlier
 // deadline.
 func (m *Mirror) declarations(read topicBatch, record fuchsiarouter.KeyedRecord, change fuchsiarouter.OperatorChange) []catalog.DeclaredVersion {
-	newest := catalog.DeclaredVersion{Version: change.Version, DeclaredAt: read.recordWrittenAt(record)}
-	replaced := catalog.DeclaredVersion{Version: change.Version - 1, DeclaredAt: read.unchangedUntil}
+	newest := catalog.DeclaredVersion{Version: change.Version, DeclaredAt: read.countedFrom(record)}
+	replaced := catalog.DeclaredVersion{Version: change.Version - 1, DeclaredAt: read.lackedUntil()}
 	if replaced.Version > m.View().DeclaredVersions[change.Model].Version && newest.DeclaredAt > replaced.DeclaredAt {
 		return []catalog.DeclaredVersion{replaced, newest}
 	}
@@ -282,13 +313,16 @@
 
 // logDeclaration logs a declared version with the age that this daemon gives to it and the
 // times of the read that returned it, so that a wrong age can be traced to its source.
-func (m *Mirror) logDeclaration(change fuchsiarouter.OperatorChange, read topicBatch) {
+func (m *Mirror) logDeclaration(change fuchsiarouter.OperatorChange, record fuchsiarouter.KeyedRecord, read topicBatch) {
 	fields := []zap.Field{
 		zap.String("model", change.Model), zap.Int("version", change.Version), zap.Bool("relayed", read.Relayed),
 		zap.Duration("read-took", read.receivedAt-read.sentAt),
 	}
 	if declared := m.View().DeclaredVersions[change.Model]; declared.Version == change.Version && declared.DeclaredAt != catalog.UnknownTime {
 		fields = append(fields, zap.Duration("declared-before", read.receivedAt-declared.DeclaredAt), zap.Duration("copy-age", m.OperatorAge()))
+		if moved := declared.DeclaredAt - read.recordWrittenAt(record); moved > 0 && declared.DeclaredAt == read.countedFrom(record) {
+			fields = append(fields, zap.Duration("moved-by-disturbance", moved))
+		}
 	}
 	m.log.Info("weight version declared", fields...)
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -135,7 +135,7 @@
 	minRetryAfter = 900 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 	// noServerRetryAfter is the minimum delay before a retry of a request that no server
-	// can run: engines need seconds to get their weights.
+	// can run, if no loader reports when one can: engines need seconds to get their weights.
 	noServerRetryAfter = 1200 * time.Millisecond
 	// retryJitter is the upper limit of the random delay that is added to the retry delay,
 	// so that refused requests are not retried all at once. The sum is capped at
@@ -147,6 +147,10 @@
 type Scheduler struct {
 	// zone is the availability zone of the entry.
 	zone string
+	// regions holds the region of each availability zone.
+	regions map[string]string
+	// evacuatedZones holds the availability zones whose servers get no requests.
+	evacuatedZones map[string]bool
 	// keyOf returns the key of a server in the counts of SetRequestsElsewhere.
 	keyOf func(id string) uint32
 	// services holds the state of each service by its name, servers that of each server by
@@ -155,6 +159,8 @@
 	servers  map[string]*server
 	// availability holds what servers have said about further requests.
 	availability *availability.Tracker
+	// cold limits the requests to cold servers.
+	cold *coldState
 	// requiredVersions holds, for each model, the lowest version on which a request may
 	// begin.
 	requiredVersions map[string]int
@@ -189,7 +195,7 @@
 
 // SetServers replaces the set of servers, indexed by ID. A server keeps its scheduling
 // state while its incarnation is the same. Queued requests are assigned to the new servers
-// as far as these have capacity.
+// as far as these have capacity, and refused if no server is left in their regions.
 func (s *Scheduler) SetServers(now time.Time, servers map[string]*catalog.Server) {
 	for _, svc := range s.services {
 		svc.servers = svc.servers[:0]
@@ -200,6 +206,7 @@
 			if existing.Started == 0 {
 				s.availability.Forget(existing.Incarnation())
 			}
+			s.releaseCold(existing)
 			delete(s.servers, id)
 		}
 	}
@@ -210,15 +217,19 @@
 			s.servers[id] = existing
 		}
 		existing.Server = updated
+		s.locate(existing)
 		existing.availability = s.availability.Find(existing.Incarnation())
+		s.trackCold(now, existing)
 		svc := s.serviceFor(updated.Service)
 		svc.servers = append(svc.servers, existing)
 	}
+	s.noteColdServers()
 	for _, svc := range s.services {
 		sort.Slice(svc.servers, func(i, j int) bool { return svc.servers[i].ID < svc.servers[j].ID })
 		s.assignPreferredServers(svc)
 		s.renewBorrowable(now, svc)
 		s.dispatchQueued(now, svc)
+		s.refuseQueued(now, svc, (*Request).isRestricted)
 	}
 }
 
@@ -258,7 +269,9 @@
 	for _, server := range s.servers {
 		if server.Address == engine.Address && !engine.Number.IsSupersededBy(server.loaderStateNumber) {
 			server.loaderStateNumber = engine.Number
+			wasLoading := server.loadingWeights && now.Before(server.loaderStateUntil)
 			server.loaderVersions, server.loadingWeights, server.loaderStateUntil = engine.Versions, engine.LoadingWeights, now.Add(loaderStateTTL)
+			server.recordLoad(now, wasLoading)
 			server.nextLoadAt = time.Time{}
 			if engine.TimeToLoad > 0 {
 				server.nextLoadAt = now.Add(engine.TimeToLoad)
@@ -269,7 +282,8 @@
 }
 
 // RequireVersion sets the lowest version of a model on which requests may begin from now
-// on. Requests that were already sent to a server are not affected.
+// on. Requests that were already sent to a server are not affected; Tick refuses those in the queue
+// that no server can run in time any more.
 func (s *Scheduler) RequireVersion(model string, version int) { s.requiredVersions[model] = version }
 
 // SetRequestsElsewhere replaces the counts of the requests that the other entries have in
@@ -313,9 +327,13 @@
 	countsForShare := len(request.TriedServers) == 0 && !late
 	if countsForShare {
 		rank.served.countRequest(now)
+		if svc.countsEngineTime(now, request) {
+			svc.engine.countPrompt(now, request, (*servedShare).countRequest)
+		}
 	}
-	if selected := s.selectServer(now, svc, request); selected != nil {
-		selected.localRequests++
+	if selected := s.selectFair(now, svc, request); selected != nil {
+		s.assign(now, svc, selected, request)
+		svc.fair.serve(request)
 		rank.dispatchRate.count(now)
 		if countsForShare {
 			rank.served.countDispatch(now)
@@ -332,21 +350,30 @@
 		request.queuePriority += lateRankPenalty
 		request.queueDeadline = now.Add(min(maxLateWait, request.Deadline.Sub(now)/4))
 	}
+	var deficit time.Duration
+	s.lastSequence++
+	request.sequence = s.lastSequence
+	if svc.countsEngineTime(now, request) {
+		deficit = svc.prepareQueueing(now, request)
+	}
 	if latestDispatch := request.AbandonAt.Add(-rank.timeToFirstEvent); !request.AbandonAt.IsZero() && latestDispatch.Before(request.queueDeadline) {
 		request.queueDeadline = latestDispatch
 	}
 	if refusal, refused := s.refuseWithoutServer(now, svc, request); refused {
+		if countsForShare && refusal.Reason == RegionUnavailable {
+			rank.served.discountRequest()
+		}
 		return refusal
 	}
-	wait := svc.expectedWait(now, request)
-	if now.Add(wait).After(request.queueDeadline) {
-		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, wait)}
+	wait := svc.fair.wait(request, svc.waitInRegions(request, svc.expectedWait(now, request)))
+	if deficit > 0 || now.Add(wait).After(request.queueDeadline) {
+		svc.fair.refuse(request)
+		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, max(wait, deficit))}
 	}
-	s.lastSequence++
-	request.sequence = s.lastSequence
 	request.queued = true
 	position, _ := slices.BinarySearchFunc(svc.queue, request, compareQueueOrder)
 	svc.queue = slices.Insert(svc.queue, position, request)
+	svc.fair.queue(request)
 	return Decision{Queued: true}
 }
 
@@ -368,18 +395,6 @@
 	}
 }
 
-// hasEligibleServer reports whether any server could run the request now or later,
-// regardless of its load, of suspensions and of the required version, which a server may
-// still load.
-func (s *Scheduler) hasEligibleServer(now time.Time, svc *service, request *Request) bool {
-	for _, candidate := range svc.servers {
-		if candidate.isEligible(now, request, 0) {
-			return true
-		}
-	}
-	return false
-}
-
 // Cancel removes a request from the queue without a call of OnDecision. It returns false
 // if the request was not queued, or no longer.
 func (s *Scheduler) Cancel(request *Request) bool {
@@ -389,18 +404,22 @@
 	svc := s.serviceFor(request.Service)
 	svc.queue = slices.DeleteFunc(svc.queue, func(other *Request) bool { return other == request })
 	request.queued = false
+	svc.fair.unqueue(request)
 	return true
 }
 
 // Tick assigns servers to the queued requests that can be sent now and refuses those whose
-// queue deadline has passed. It delivers both decisions to OnDecision.
+// queue deadline has passed, or that no server will hold the required version for in time. It
+// delivers both decisions to OnDecision.
 func (s *Scheduler) Tick(now time.Time) {
 	for _, svc := range s.services {
 		s.dispatchQueued(now, svc)
+		s.refuseWithoutVersions(now, svc)
 		for i := len(svc.queue) - 1; i >= 0; i-- {
 			request := svc.queue[i]
 			if now.After(request.queueDeadline) {
 				s.Cancel(request)
+				svc.fair.refuse(request)
 				request.OnDecision(Decision{Reason: Expired, RetryAfter: svc.retryAfter(now, 0)})
 			}
 		}
@@ -413,9 +432,13 @@
 	if len(svc.queue) == 0 {
 		return
 	}
+	if svc.engine.isOn(now) {
+		s.dispatchByEngineTime(now, svc)
+		return
+	}
 	skipped := map[*Request]bool{}
 	for {
-		request := svc.nextQueued(skipped)
+		request := svc.nextFair(now, svc.nextQueued(skipped), skipped)
 		if request == nil {
 			return
 		}
@@ -427,8 +450,9 @@
 			skipped[request] = true
 			continue
 		}
-		selected.localRequests++
+		s.assign(now, svc, selected, request)
 		s.Cancel(request)
+		svc.fair.serve(request)
 		rank := svc.rankState(request.Rank)
 		rank.dispatchRate.count(now)
 		if request.queuePriority == request.Rank && len(request.TriedServers) == 0 {
