--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -170,6 +170,7 @@
 	c.configurationAge.Update(i.mirror.OperatorAge().Seconds())
 	c.evacuatedZones.Update(float64(len(i.mirror.View().EvacuatedZones)))
 	c.serverConnections.Update(float64(i.upstream.OpenConnections()))
+	i.memory.held.Update(float64(i.memory.Used()))
 	i.mu.Lock()
 	coldServers, coldWithheld := i.scheduler.ColdServers(), i.scheduler.ColdWithheld()
 	i.mu.Unlock()
--- a/result/result.go
+++ b/result/result.go
@@ -104,6 +104,8 @@
 	// RegionUnavailable means that no backend server can run the request in the regions in which
 	// it may be served.
 	RegionUnavailable = Code{2013, "region-unavailable", 503, RanNo, RetryYes}
+	// MemoryShort means that the entry has no memory for the body of the request.
+	MemoryShort = Code{2014, "memory-short", 503, RanNo, RetryYes}
 	// ServerLost means that no response of the backend server arrived, for example because
 	// the connection broke.
 	ServerLost = Code{3001, "server-lost", 502, RanMaybe, RetryIfIdempotent}
@@ -133,7 +135,7 @@
 		OK, Malformed, Unauthenticated, RankNotAllowed, UnknownModel, UnknownService,
 		BodyTooLarge, KeyRequired, KeyMalformed, KeyExpired, KeyReused, HeadTooLarge, RateLimited, TooManyInProgress,
 		QueueFull, DeadlineUnreachable, NoServer, Leaving, LogUnavailable, VersionNotLoaded,
-		NotReady, Preempted, CallerLeft, ServersPaused, RegionUnavailable, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
+		NotReady, Preempted, CallerLeft, ServersPaused, RegionUnavailable, MemoryShort, ServerLost, StreamCut, StillRunning, MayHaveRun, Timeout, OutcomeUnknown,
 		Quarantined, CrashedServers, Internal,
 	}
 }
