--- a/supply/supply.go
+++ b/supply/supply.go
@@ -7,12 +7,13 @@
 // every piece is verified against its digest.
 //
 // If loaders in the same availability zone hold the version, they share the requests of
-// that zone, unless they are so few that they would be busy for several times as long as a copy
-// takes, for example after all processes were killed during a rollout. Otherwise one loader of the zone is the importer of each piece: it fetches
-// the piece from another zone, or from a holder in its own, and the other loaders of the zone wait
-// for it, so that each piece crosses a link between zones once. Each piece is passed on in a tree of
-// its own below its importer: an importer that sent it to all 32 others of a zone took 0.9 s for each
-// piece, and the last one came 2 s after it had left the origin.
+// that zone, unless they are so few that they would be busy for several times as long as a
+// copy takes, for example after all processes were killed during a rollout. Otherwise one
+// loader of the zone is the importer of each piece: it fetches the piece from another zone,
+// or from a holder in its own, and the other loaders of the zone wait for it, so that each
+// piece crosses a link between zones once. Each piece is passed on in a tree of its own below
+// its importer: an importer that sent it to all 32 others of a zone took 0.9 s for each piece,
+// and the last one came 2 s after it had left the origin.
 //
 // If no loader holds the version, it comes from the origin, the server that publishes the
 // weights. A few loaders in the zone of the origin, the origin fetchers, download each
