roster: counters of the work of workspaces in reports and digests

Cause: fair shares need the work of the other entries, and nothing carried it. New optional fields, which earlier releases ignore; absent and without allocation while no entry measures work. A digest for an entry of the zone holds the work of all other entries, so that it is newer than the requests in flight of other zones.

--- a/roster/digest.go
+++ b/roster/digest.go
@@ -38,6 +38,8 @@
 	load          map[uint32]int
 	loadAt        time.Time
 	loadFromFirst bool
+	// work is the work of the workspaces at the entries of the zone, as of loadAt too.
+	work *Work
 	// digestSentAt is the time of the last digest to the zone, previousDigestSentAt that of
 	// the one before it, and sentToAllAt that of the last one to both of its relays.
 	digestSentAt, previousDigestSentAt, sentToAllAt time.Time
@@ -55,6 +57,8 @@
 type relayLoad struct {
 	zone, remote map[uint32]int
 	receivedAt   time.Time
+	// work is the work of the workspaces at the other entries.
+	work *Work
 }
 
 // origin says from where an engine state came to this entry, which decides where it is
@@ -90,7 +94,7 @@
 
 // NewReport returns the report of this entry, without strikes and stalls.
 func (r *Roster) NewReport(now time.Time) Report {
-	report := Report{Entry: r.self.Entry, Members: r.MembersFingerprint(now), Wanted: slices.Collect(maps.Keys(r.wanted)), Load: r.ownLoad}
+	report := Report{Entry: r.self.Entry, Members: r.MembersFingerprint(now), Wanted: slices.Collect(maps.Keys(r.wanted)), Load: r.ownLoad, Work: r.ownWork}
 	for _, news := range r.engines {
 		if news.origin == fromLoader && now.Sub(news.changedAt) < reportEngineFor {
 			report.Engines = append(report.Engines, news.statusAt(now))
@@ -140,7 +144,7 @@
 	discovered = !peer.isLive(now)
 	peer.unansweredSince = time.Time{}
 	peer.confirm(now, SilenceTimeout)
-	peer.reportedAt, peer.load = now, report.Load
+	peer.reportedAt, peer.load, peer.work = now, report.Load, report.Work
 	for _, status := range report.Engines {
 		r.recordEngine(now, status, fromZone)
 	}
@@ -171,7 +175,7 @@
 	}
 	peer.digestSentAt = now
 	if withLoad {
-		digest.HasLoad, digest.Load = true, r.zoneLoad(now, address)
+		digest.HasLoad, digest.Load, digest.Work = true, r.zoneLoad(now, address), r.zoneWork(now, address, true)
 		interval := remoteLoadInterval * time.Duration(max(len(r.zones), fewZones)) / fewZones
 		if now.Sub(peer.remoteLoadSentAt) >= interval-intervalTolerance {
 			peer.remoteLoadSentAt = now
@@ -212,6 +216,7 @@
 	digest := Digest{
 		Sender: r.self.PeerAddress, Zone: r.self.AvailabilityZone, Secondary: r.relayRank(now) != 0,
 		Zones: []ZoneEntries{members}, Wanted: slices.Collect(maps.Keys(r.wanted)), HasLoad: true, Load: r.zoneLoad(now, ""),
+		Work: r.zoneWork(now, "", false),
 	}
 	for _, news := range r.engines {
 		if news.origin != fromOtherZone && news.changedAt.After(since) {
@@ -264,7 +269,7 @@
 	if !isFirst || !digest.HasLoad {
 		return false, false
 	}
-	r.relayLoad.zone, r.relayLoad.receivedAt = digest.Load, now
+	r.relayLoad.zone, r.relayLoad.receivedAt, r.relayLoad.work = digest.Load, now, digest.Work
 	if digest.HasRemoteLoad {
 		r.relayLoad.remote = digest.RemoteLoad
 	}
@@ -369,7 +374,7 @@
 	if digest.Secondary && state.loadFromFirst && now.Sub(state.loadAt) < firstRelayPreference {
 		return false
 	}
-	state.load, state.loadAt, state.loadFromFirst = digest.Load, now, !digest.Secondary
+	state.load, state.loadAt, state.loadFromFirst, state.work = digest.Load, now, !digest.Secondary, digest.Work
 	return r.relayRank(now) == 0
 }
 
--- a/roster/fleet_test.go
+++ b/roster/fleet_test.go
@@ -37,6 +37,8 @@
 	sent, received, bytesSent int
 	// engines holds the engine states that the entry received from other entries.
 	engines []roster.EngineStatus
+	// work is the work of the workspaces at the entry, nil if it doesn't measure any.
+	work []roster.WorkCounter
 }
 
 // testEvent is something that happens at a time.
@@ -130,6 +132,7 @@
 	r := entry.roster
 	r.SetOwn(entry.entry)
 	r.SetOwnLoad(map[uint32]int{roster.ServerKey(entry.entry.Name): 1})
+	r.SetOwnWork(entry.work)
 	first, others := r.ReportTargets(f.now, true, false)
 	message := r.NewReport(f.now)
 	f.send(entry, &roster.Message{Report: &message}, others)
--- a/roster/fuzz_test.go
+++ b/roster/fuzz_test.go
@@ -13,7 +13,7 @@
 func FuzzDecode(f *testing.F) {
 	entry := roster.Entry{Name: "b", PeerAddress: "127.0.0.2:1", AvailabilityZone: "z", Region: "r", Started: 1}
 	for _, message := range []roster.Message{
-		{Report: &roster.Report{Entry: entry, Load: map[uint32]int{1: 2}, Stalled: []string{"i"}, Wanted: []string{"y"}, WantLoad: true}},
+		{Report: &roster.Report{Entry: entry, Load: map[uint32]int{1: 2}, Stalled: []string{"i"}, Wanted: []string{"y"}, WantLoad: true, Work: &roster.Work{Entries: 1, Counters: []roster.WorkCounter{{Key: 1, Rank: 2, Served: 3}}}}},
 		{Digest: &roster.Digest{
 			Sender: "127.0.0.2:1", Zone: "z", HasLoad: true, Load: map[uint32]int{1: 2},
 			Zones: []roster.ZoneEntries{{Zone: "y", Listed: true, Entries: []roster.Entry{entry}}},
--- a/roster/message.go
+++ b/roster/message.go
@@ -55,6 +55,8 @@
 	Leaving []availability.Server `cbor:"11,keyasint,omitempty"`
 	// EngineNumbers holds the numbers of Engines, in the same order. Encode sets it.
 	EngineNumbers []fuchsiarouter.StateNumber `cbor:"12,keyasint,omitempty"`
+	// Work is the work of the workspaces at the sender. It is nil unless that is measured.
+	Work *Work `cbor:"13,keyasint,omitempty"`
 }
 
 // Digest is what a relay tells the entries of its zone, or the relays of other zones.
@@ -93,6 +95,9 @@
 	Leaving []availability.Server     `cbor:"16,keyasint,omitempty"`
 	// EngineNumbers is as in a Report.
 	EngineNumbers []fuchsiarouter.StateNumber `cbor:"17,keyasint,omitempty"`
+	// Work is the work of the workspaces at the entries of the sender's zone. In a digest for an entry
+	// of that zone, it is the work at all entries except that one. It is nil if HasLoad is not set.
+	Work *Work `cbor:"18,keyasint,omitempty"`
 }
 
 // ZoneEntries is the set of the live entries of an availability zone.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -83,6 +83,8 @@
 	sorted []*peerEntry
 	// ownLoad holds the requests that this entry has in flight.
 	ownLoad map[uint32]int
+	// ownWork is the work of the workspaces at this entry, nil if it is not measured.
+	ownWork *Work
 	// zones holds what the relays of the other zones sent last, by availability zone.
 	zones map[string]*zoneState
 	// wanted holds the zones whose live entries differ from those of the relays.
@@ -115,6 +117,7 @@
 	// reportedAt is the time of the last report from the peer, and load its content.
 	reportedAt time.Time
 	load       map[uint32]int
+	work       *Work
 	// digestSentAt and remoteLoadSentAt are the times of the last digest to the peer and of
 	// the last one with the loads of the other zones.
 	digestSentAt     time.Time
