--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -9,6 +9,7 @@
 import (
 	"hash/fnv"
 	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -169,9 +170,13 @@
 // Workspace is a tenant of the platform.
 type Workspace struct {
 	Name string
-	// Rank is the priority class of the workspace; 0 is the most urgent. No daemon reads
-	// it: a request has the rank of its route.
+	// Rank is the priority class of the workspace; 0 is the most urgent. It goes before that of the
+	// route where the service is shared fairly among the workspaces, and has no effect elsewhere.
 	Rank int
+	// Weight is the weight of the workspace in fair shares. It counts as 1 unless it is positive.
+	// WeightMalformed reports that the configuration has another value, outside the range.
+	Weight          float64
+	WeightMalformed bool
 	// AllowedRegions are the regions in which requests of the workspace may be served. A request
 	// may be served only where both its route and its workspace allow it.
 	AllowedRegions RegionSet
@@ -189,8 +194,13 @@
 	routes map[string][]*Route
 	// keys holds the workspace of each API key.
 	keys map[string]*Workspace
-	// workspaces is the number of workspaces.
+	// workspaces is the number of workspaces, and weights holds their weights by name.
 	workspaces int
+	weights    map[string]float64
+	// workspaceRanks holds the distinct ranks of the workspaces in ascending order, and routeRanks is
+	// the number of ranks that routes may have, from 0 to the highest one.
+	workspaceRanks []int
+	routeRanks     int
 	// namedRegions are the regions in the lists of all routes and workspaces.
 	namedRegions RegionSet
 }
@@ -200,6 +210,7 @@
 	return &Configuration{
 		Version: version, Limits: limits, Services: map[string]*Service{},
 		routes: map[string][]*Route{}, keys: map[string]*Workspace{}, namedRegions: RegionSet{},
+		weights: map[string]float64{}, routeRanks: 1,
 	}
 }
 
@@ -209,12 +220,17 @@
 	routes = append(routes, route)
 	sort.SliceStable(routes, func(i, j int) bool { return len(routes[i].Prefix) > len(routes[j].Prefix) })
 	c.routes[route.Host] = routes
+	c.routeRanks = min(max(c.routeRanks, route.Rank+1), maxRouteRanks)
 	maps.Copy(c.namedRegions, route.AllowedRegions)
 }
 
 // AddWorkspace adds a workspace and its API keys.
 func (c *Configuration) AddWorkspace(workspace *Workspace, keys []string) {
 	c.workspaces++
+	c.weights[workspace.Name] = workspace.Weight
+	if position, known := slices.BinarySearch(c.workspaceRanks, workspace.Rank); !known {
+		c.workspaceRanks = slices.Insert(c.workspaceRanks, position, workspace.Rank)
+	}
 	maps.Copy(c.namedRegions, workspace.AllowedRegions)
 	for _, key := range keys {
 		c.keys[key] = workspace
@@ -236,6 +252,24 @@
 // routes. It is false while there are no workspaces.
 func (c *Configuration) NeedsKey() bool { return c.workspaces > 0 }
 
+// maxRouteRanks bounds the number of ranks of routes that are told apart between workspaces of
+// different ranks.
+const maxRouteRanks = 100
+
+// RankOf returns the rank of a request of the route and the workspace, in which the rank of the
+// workspace goes before that of the route. If all workspaces have the same rank, or the workspace is
+// nil, it is that of the route.
+func (c *Configuration) RankOf(route *Route, workspace *Workspace) int {
+	if workspace == nil {
+		return route.Rank
+	}
+	index, _ := slices.BinarySearch(c.workspaceRanks, workspace.Rank)
+	return index*c.routeRanks + route.Rank
+}
+
+// Weights returns the weights of all workspaces by name, which must not be changed.
+func (c *Configuration) Weights() map[string]float64 { return c.weights }
+
 // NamedRegions returns the regions in the lists of allowed regions of all routes and workspaces. It
 // is empty if requests may be served everywhere.
 func (c *Configuration) NamedRegions() RegionSet { return c.namedRegions }
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -57,6 +57,9 @@
 	// at most. Callers that come back at once are refused many times, which would make a workspace
 	// with a few refusals look like one that asks for more than its share.
 	refusedShare = 0.05
+	// overloadedFrom is the demand in relation to the served work from which a rank is overloaded.
+	// Refused work is forgotten slowly, so that a single refusal would otherwise count for a minute.
+	overloadedFrom = 1.001
 	// forgetBelow is the rate of work per second below which a workspace is removed.
 	forgetBelow = 1e-4
 	// MaxReported bounds the workspaces in a report.
@@ -124,6 +127,9 @@
 	return &Shares{weights: weights, states: map[key]*state{}, entries: 1}
 }
 
+// SetWeights replaces the weights of the workspaces.
+func (s *Shares) SetWeights(weights map[string]float64) { s.weights = weights }
+
 func (s *Shares) weight(workspace string) float64 {
 	if weight := s.weights[workspace]; weight > 0 && !math.IsInf(weight, 1) {
 		return weight
@@ -257,7 +263,7 @@
 		demand += wanted
 		weights += s.weight(id.workspace)
 	}
-	if capacity <= 0 || demand <= capacity {
+	if capacity <= 0 || demand <= capacity*overloadedFrom {
 		return 0, false
 	}
 	slices.SortFunc(claims, func(a, b claim) int {
@@ -276,6 +282,37 @@
 	return 0, false
 }
 
+// Level is the fair level of an overloaded rank, in work per second and weight.
+type Level struct {
+	Rank  int
+	Level float64
+}
+
+// Levels returns the fair levels of the ranks that are overloaded, in the order of the ranks.
+func (s *Shares) Levels(now time.Duration) []Level {
+	seen := map[int]bool{}
+	var levels []Level
+	for id := range s.states {
+		if seen[id.rank] {
+			continue
+		}
+		seen[id.rank] = true
+		if level, overloaded := s.level(now, id.rank); overloaded {
+			levels = append(levels, Level{id.rank, level})
+		}
+	}
+	slices.SortFunc(levels, func(a, b Level) int { return cmp.Compare(a.Rank, b.Rank) })
+	return levels
+}
+
+// CountersAge returns the age of the counters of the other entries.
+func (s *Shares) CountersAge(now time.Duration) time.Duration {
+	if s.entries <= 1 {
+		return 0
+	}
+	return now - s.elsewhereAt
+}
+
 // Next returns the index of the workspace whose request goes next in a rank, of those that have one
 // queued at this entry, or -1 if a free slot is to be left to a workspace at another entry. free is
 // the number of free slots of the servers, of the given number.
