ingress: fair shares of workspaces switched on, counters exchanged

Cause: nothing called the fair shares. Change: schedule.SetFairShareSettings and SetSpeedVaries switch them per service: there are workspaces, and the service has a cold time or its servers report a speed. The entry sends and applies the counters, sets cost and rank of requests to shared services, and has metrics and log lines. A refusal because of a share states when it is free, without the bound of 2 s.

--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -200,7 +200,9 @@
 	// workspaceRanks holds the distinct ranks of the workspaces in ascending order, and routeRanks is
 	// the number of ranks that routes may have, from 0 to the highest one.
 	workspaceRanks []int
-	routeRanks     int
+	// malformedWeights holds the names of the workspaces with a malformed weight.
+	malformedWeights []string
+	routeRanks       int
 	// namedRegions are the regions in the lists of all routes and workspaces.
 	namedRegions RegionSet
 }
@@ -228,6 +230,9 @@
 func (c *Configuration) AddWorkspace(workspace *Workspace, keys []string) {
 	c.workspaces++
 	c.weights[workspace.Name] = workspace.Weight
+	if workspace.WeightMalformed {
+		c.malformedWeights = append(c.malformedWeights, workspace.Name)
+	}
 	if position, known := slices.BinarySearch(c.workspaceRanks, workspace.Rank); !known {
 		c.workspaceRanks = slices.Insert(c.workspaceRanks, position, workspace.Rank)
 	}
@@ -270,6 +275,9 @@
 // Weights returns the weights of all workspaces by name, which must not be changed.
 func (c *Configuration) Weights() map[string]float64 { return c.weights }
 
+// MalformedWeights returns the names of the workspaces whose weight is malformed.
+func (c *Configuration) MalformedWeights() []string { return c.malformedWeights }
+
 // NamedRegions returns the regions in the lists of allowed regions of all routes and workspaces. It
 // is empty if requests may be served everywhere.
 func (c *Configuration) NamedRegions() RegionSet { return c.namedRegions }
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -68,6 +68,7 @@
 	if r.route.ToModelEngine {
 		r.scheduling.Model, r.scheduling.OutputTokens = r.Model, r.MaxOutputTokens
 	}
+	i.applyShare(r)
 	if r.route.Kind == catalog.Stream {
 		return i.runStream(r)
 	}
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -50,6 +50,8 @@
 	service       string
 	workspace     string
 	rank          int
+	// shareRank is the rank in a service that is shared fairly, where that of the workspace goes first.
+	shareRank int
 	// allowedRegions are the regions that both the route and the workspace allow.
 	allowedRegions catalog.RegionSet
 	received       time.Time
@@ -202,7 +204,7 @@
 		}
 		return result.UnknownService.Error("no route")
 	}
-	r.rank, r.allowedRegions = r.route.Rank, r.route.AllowedRegions
+	r.rank, r.shareRank, r.allowedRegions = r.route.Rank, r.route.Rank, r.route.AllowedRegions
 	if r.configuration.NeedsKey() && !r.route.Public {
 		workspace := r.configuration.Workspace(r.APIKey)
 		switch {
@@ -213,7 +215,7 @@
 		case workspace == nil:
 			return result.Unauthenticated.Error("no workspace has the key")
 		}
-		r.workspace = workspace.Name
+		r.workspace, r.shareRank = workspace.Name, r.configuration.RankOf(r.route, workspace)
 		r.allowedRegions = r.allowedRegions.Intersect(workspace.AllowedRegions)
 	}
 	r.fingerprint = requestFingerprint(&r.ctx.Request, r.APIKey)
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -171,6 +171,8 @@
 	resendBudgets map[string]*resendBudget
 	// roster holds the other entries.
 	roster *roster.Roster
+	// fairShares holds what the fair shares of workspaces need beside the scheduler.
+	fairShares fairShares
 	// rosterKnown is set once the registered entries were read.
 	rosterKnown bool
 	// declaredVersions holds the declared versions of each model, oldest first.
@@ -364,6 +366,7 @@
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	i.applyColdServices(view)
+	i.applyFairShares(view.Configuration)
 	i.scheduler.SetEvacuatedZones(time.Now(), view.EvacuatedZones)
 	i.scheduler.SetServers(time.Now(), view.Servers)
 	for model, target := range view.DeclaredVersions {
@@ -402,6 +405,7 @@
 					return server != nil && server.Address == target.Address && server.Started == target.Incarnation
 				})
 				i.metrics.updateGauges(i)
+				i.updateShareMetrics(now)
 			}
 		}
 	}
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -80,6 +80,14 @@
 	coldServers      tally.Gauge
 	coldWithheld     tally.Counter
 	coldWithheldSeen uint64
+	// shareServices is the number of services that are shared fairly among the workspaces,
+	// shareOverloadedRanks that of their ranks that are overloaded, and shareCountersAge the largest age
+	// of the counters of the other entries in seconds. shareRefused counts the requests that were
+	// refused because of the share of their workspace, and shareHeld how often a free slot was left to
+	// other entries. shareRefusedSeen and shareHeldSeen are the counts that they have.
+	shareServices, shareOverloadedRanks, shareCountersAge tally.Gauge
+	shareRefused, shareHeld                               tally.Counter
+	shareRefusedSeen, shareHeldSeen                       uint64
 	// evacuatedZones is the number of evacuated availability zones.
 	evacuatedZones tally.Gauge
 	// otherRegionsListed counts the responses of the directory that list entries of other regions
@@ -104,7 +112,9 @@
 		otherRegionsListed: scope.Counter("directory_other_regions"),
 		serverConnections:  scope.Gauge("server_connections"),
 		coldServers:        scope.Gauge("servers_cold"),
-		coldWithheld:       scope.Counter("cold_withheld"),
+		shareServices:      scope.Gauge("share_services"), shareOverloadedRanks: scope.Gauge("share_overloaded_ranks"), shareCountersAge: scope.Gauge("share_counters_age_seconds"),
+		shareRefused: scope.Counter("share_refused"), shareHeld: scope.Counter("share_held"),
+		coldWithheld: scope.Counter("cold_withheld"),
 	}
 }
 
@@ -134,6 +144,17 @@
 	c.coldWithheldSeen = coldWithheld
 }
 
+// updateShares sets the metrics of the fair shares. The counts begin anew when the shares of a service
+// are switched off.
+func (c *requestMetrics) updateShares(services, overloadedRanks int, countersAge time.Duration, refused, held uint64) {
+	c.shareServices.Update(float64(services))
+	c.shareOverloadedRanks.Update(float64(overloadedRanks))
+	c.shareCountersAge.Update(countersAge.Seconds())
+	c.shareRefused.Inc(int64(refused - min(refused, c.shareRefusedSeen)))
+	c.shareHeld.Inc(int64(held - min(held, c.shareHeldSeen)))
+	c.shareRefusedSeen, c.shareHeldSeen = refused, held
+}
+
 // peerHandler returns the HTTP handler for other daemons: records serves their reads of
 // the registry, and the path /metrics serves the metrics.
 func (i *Ingress) peerHandler(records fasthttp.RequestHandler, metrics telemetry.Metrics) fasthttp.RequestHandler {
--- a/ingress/status.go
+++ b/ingress/status.go
@@ -60,6 +60,7 @@
 			position, zoneSize := i.roster.ZonePosition(now)
 			i.scheduler.SetEntries(position, zoneSize, i.roster.LiveCount(now)+1)
 			i.updateColdView(now, zoneSize)
+			i.applyWorkElsewhere(now)
 			i.scheduler.SetRequestsElsewhere(now, i.roster.RequestsElsewhere(now))
 			silent := i.roster.NewlySilent(now)
 			i.mu.Unlock()
@@ -91,6 +92,7 @@
 	changed := !maps.Equal(load, i.reportedLoad)
 	i.reportedLoad = load
 	i.roster.SetOwnLoad(load)
+	i.roster.SetOwnWork(i.ownWork())
 	first, others := i.roster.ReportTargets(now, changed, urgent)
 	if first == "" && len(others) == 0 {
 		i.mu.Unlock()
@@ -263,6 +265,7 @@
 	i.mu.Lock()
 	newLoad, answer := i.roster.ReceiveDigest(now, digest)
 	if newLoad {
+		i.applyWorkElsewhere(now)
 		i.scheduler.SetRequestsElsewhere(now, i.roster.RequestsElsewhere(now))
 	}
 	i.strikes.Merge(now, digest.Strikes)
--- a/schedule/fairshare_test.go
+++ b/schedule/fairshare_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 	"github.com/fuchsiarouter/fuchsiarouter/fairshare"
 	"github.com/fuchsiarouter/fuchsiarouter/schedule"
 )
@@ -114,3 +115,58 @@
 	g.Expect(sent).To(gomega.BeEmpty())
 	g.Expect(s.Submit(start, workspaceRequest("modest", 1, start, sent)).Server).To(gomega.Equal("a"))
 }
+
+// TestSwitchOfFairShares guards against fair shares where nothing asks for them, and against services that are not shared although the configuration or their servers ask for it.
+func TestSwitchOfFairShares(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z", keyOf)
+	settings := schedule.FairShareSettings{
+		Weights: map[string]float64{"w": 1}, Clock: func() time.Duration { return time.Hour },
+		Services: map[string]*catalog.Service{"even": {}, "cold": {ColdTime: time.Second}, "uneven": {}},
+	}
+	shared := func() (names []string) {
+		s.EachFairShares(func(service string, _ *fairshare.Shares) { names = append(names, service) })
+		return names
+	}
+	s.SetSpeedVaries("even", false)
+	s.SetFairShareSettings(settings)
+	g.Expect(shared()).To(gomega.ConsistOf("cold"))
+	s.SetSpeedVaries("uneven", true)
+	s.SetSpeedVaries("unknown", true)
+	g.Expect(shared()).To(gomega.ConsistOf("cold", "uneven"))
+	g.Expect(s.HasFairShares("even")).To(gomega.BeFalse())
+	s.SetFairShareSettings(schedule.FairShareSettings{Services: settings.Services, Clock: settings.Clock})
+	g.Expect(shared()).To(gomega.BeEmpty(), "without workspaces")
+	s.SetFairShareSettings(settings)
+	g.Expect(shared()).To(gomega.ConsistOf("cold", "uneven"))
+	s.SetFairShareSettings(schedule.FairShareSettings{Weights: settings.Weights, Services: map[string]*catalog.Service{"cold": {}}, Clock: settings.Clock})
+	g.Expect(shared()).To(gomega.BeEmpty())
+}
+
+// TestRetryAfterOfShare guards against a Retry-After that says nothing about when the share of the workspace is free.
+func TestRetryAfterOfShare(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := schedule.New("z", keyOf)
+	s.SetServers(start, modelServers("z"))
+	saturate(s)
+	now := time.Hour
+	shares := fairshare.New(nil)
+	s.SetFairShares("s", shares, func() time.Duration { return now })
+	for range 400 {
+		now += 5 * time.Millisecond
+		shares.Serve(now, 1, "greedy", 0.09)
+		shares.Refuse(now, 1, "greedy", 0.09)
+		shares.Serve(now, 1, "modest", 0.01)
+	}
+	// The greedy workspace gets 18 per second, of which 90 are queued: 5 s.
+	shares.Queue(1, "greedy", 90)
+	request := workspaceRequest("greedy", 1, start, map[string]int{})
+	decision := s.Submit(start, request)
+	g.Expect(decision.Reason).To(gomega.Equal(schedule.Overloaded))
+	wait, _ := shares.Wait(now, 1, "greedy", 1)
+	g.Expect(wait).To(gomega.BeNumerically(">", 3*time.Second))
+	g.Expect(decision.RetryAfter).To(gomega.BeNumerically(">=", wait-200*time.Millisecond))
+	g.Expect(decision.RetryAfter).To(gomega.BeNumerically("<=", wait*6/5))
+	refused, _ := s.FairShareCounts()
+	g.Expect(refused).To(gomega.BeEquivalentTo(1))
+}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -161,6 +161,8 @@
 	availability *availability.Tracker
 	// cold limits the requests to cold servers.
 	cold *coldState
+	// shareSwitch decides which services are shared fairly.
+	shareSwitch *shareSwitch
 	// requiredVersions holds, for each model, the lowest version on which a request may
 	// begin.
 	requiredVersions map[string]int
@@ -357,7 +359,7 @@
 	wait := svc.fair.wait(request, svc.waitInRegions(request, svc.expectedWait(now, request)))
 	if now.Add(wait).After(request.queueDeadline) {
 		svc.fair.refuse(request)
-		return Decision{Reason: Overloaded, RetryAfter: svc.retryAfter(now, wait)}
+		return Decision{Reason: Overloaded, RetryAfter: svc.shareRetryAfter(now, request, wait)}
 	}
 	s.lastSequence++
 	request.sequence = s.lastSequence
@@ -421,7 +423,7 @@
 			if now.After(request.queueDeadline) {
 				s.Cancel(request)
 				svc.fair.refuse(request)
-				request.OnDecision(Decision{Reason: Expired, RetryAfter: svc.retryAfter(now, 0)})
+				request.OnDecision(Decision{Reason: Expired, RetryAfter: svc.shareRetryAfter(now, request, 0)})
 			}
 		}
 	}
@@ -435,7 +437,7 @@
 	}
 	skipped := map[*Request]bool{}
 	for {
-		request := svc.nextFair(now, svc.nextQueued(skipped), skipped)
+		request := s.nextFair(now, svc, svc.nextQueued(skipped), skipped)
 		if request == nil {
 			return
 		}
