--- a/fairshare/cost_test.go
+++ b/fairshare/cost_test.go
@@ -1,6 +1,7 @@
 package fairshare_test
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -30,3 +31,27 @@
 		g.Expect(fairshare.Cost(malformed, 10, 10)).To(gomega.BeZero())
 	}
 }
+
+// BenchmarkDecisions measures what a request costs under overload: its wait and the choice of the next workspace, with 24 workspaces in one rank and 3.
+func BenchmarkDecisions(b *testing.B) {
+	for _, ranks := range []int{1, 3} {
+		b.Run(fmt.Sprint(ranks, " ranks"), func(b *testing.B) {
+			shares, now := fairshare.New(nil), time.Hour
+			var workspaces []string
+			for i := range 24 {
+				workspaces = append(workspaces, fmt.Sprint("w", i))
+				for rank := range ranks {
+					shares.Serve(now, rank, workspaces[i], 1)
+					shares.Refuse(now, rank, workspaces[i], 1)
+					shares.Queue(rank, workspaces[i], 1)
+				}
+			}
+			shares.SetElsewhere(now, nil, 10, 0)
+			b.ReportAllocs()
+			for b.Loop() {
+				shares.Wait(now, 0, workspaces[3], 1)
+				shares.Next(now, 0, workspaces[:6], 0, 11)
+			}
+		})
+	}
+}
