schedule: slots of workspaces below the most urgent ones in calm

Cause: ranks from 2 on may use 0.6 of the slots, until they have lost 5 % of their requests. With the rank of the workspace before that of the route, most of the load can have such ranks. Change: ranks of workspaces below the most urgent ones are limited so only while the next more urgent rank gets less than 0.9 of its requests. Without fair shares nothing changes.

--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -272,6 +272,10 @@
 	return index*c.routeRanks + route.Rank
 }
 
+// RouteRanks returns the number of ranks of routes, from 0 to the highest one. Ranks of RankOf from
+// there on are those of workspaces below the most urgent ones.
+func (c *Configuration) RouteRanks() int { return c.routeRanks }
+
 // Weights returns the weights of all workspaces by name, which must not be changed.
 func (c *Configuration) Weights() map[string]float64 { return c.weights }
 
--- a/ingress/fairshare.go
+++ b/ingress/fairshare.go
@@ -53,7 +53,7 @@
 		}
 	}
 	i.scheduler.SetFairShareSettings(schedule.FairShareSettings{
-		Weights: configuration.Weights(), Services: configuration.Services, Clock: boottime.Now,
+		Weights: configuration.Weights(), Services: configuration.Services, RouteRanks: configuration.RouteRanks(), Clock: boottime.Now,
 	})
 }
 
--- a/schedule/fairshare.go
+++ b/schedule/fairshare.go
@@ -13,6 +13,8 @@
 type fairShares struct {
 	shares *fairshare.Shares
 	clock  func() time.Duration
+	// routeRanks is the number of ranks of routes, 0 if it is not known.
+	routeRanks int
 	// refused counts the requests that were refused because of the share of their workspace, and held
 	// how often a free slot was left to other entries.
 	refused, held uint64
@@ -40,6 +42,9 @@
 	Weights map[string]float64
 	// Services holds the services by name.
 	Services map[string]*catalog.Service
+	// RouteRanks is the number of ranks of routes. The ranks from there on are those of workspaces below
+	// the most urgent ones.
+	RouteRanks int
 	// Clock returns the boot time.
 	Clock func() time.Duration
 }
@@ -54,6 +59,7 @@
 	for name, svc := range s.services {
 		if svc.fair != nil {
 			svc.fair.shares.SetWeights(settings.Weights)
+			svc.fair.routeRanks = settings.RouteRanks
 			s.updateFairShares(name)
 		}
 	}
@@ -89,6 +95,7 @@
 	case on == s.HasFairShares(name):
 	case on:
 		s.SetFairShares(name, fairshare.New(settings.Weights), settings.Clock)
+		s.serviceFor(name).fair.routeRanks = settings.RouteRanks
 	default:
 		s.SetFairShares(name, nil, nil)
 	}
@@ -143,6 +150,11 @@
 	return 1
 }
 
+// isOfLowerWorkspace reports whether a rank is that of workspaces below the most urgent ones.
+func (f *fairShares) isOfLowerWorkspace(rank int) bool {
+	return f != nil && f.routeRanks > 0 && rank >= f.routeRanks
+}
+
 func (f *fairShares) queue(request *Request) {
 	if f != nil {
 		f.shares.Queue(request.Rank, request.Workspace, request.work())
--- a/schedule/fairshare_test.go
+++ b/schedule/fairshare_test.go
@@ -170,3 +170,41 @@
 	refused, _ := s.FairShareCounts()
 	g.Expect(refused).To(gomega.BeEquivalentTo(1))
 }
+
+// TestLowerWorkspacesUseSlotsInCalm guards against requests of workspaces below the most urgent ones that may use 0.6 of the slots only although nobody needs the others.
+func TestLowerWorkspacesUseSlotsInCalm(t *testing.T) {
+	g := gomega.NewWithT(t)
+	// sent returns how many of 10 requests of rank 5 are sent to an idle server with 12 slots, after others of
+	// both ranks were served and some of rank 4 refused.
+	sent := func(routeRanks, served, refused int) int {
+		s := schedule.New("z", keyOf)
+		servers := modelServers("z")
+		servers["a"].Slots = 12
+		s.SetServers(start, servers)
+		s.SetFairShareSettings(schedule.FairShareSettings{
+			Weights: map[string]float64{"w": 1}, Services: map[string]*catalog.Service{"s": {ColdTime: time.Second}},
+			RouteRanks: routeRanks, Clock: func() time.Duration { return time.Hour },
+		})
+		for range served {
+			for rank := 4; rank <= 5; rank++ {
+				g.Expect(s.Submit(start, newRequest(rank, start)).Server).NotTo(gomega.BeEmpty())
+				s.Release(start, "a", "s", schedule.Completed)
+			}
+		}
+		for range refused {
+			request := newRequest(4, start)
+			request.Model = "unknown"
+			s.Submit(start, request)
+		}
+		count := 0
+		for range 10 {
+			if s.Submit(start, newRequest(5, start)).Server != "" {
+				count++
+			}
+		}
+		return count
+	}
+	g.Expect(sent(3, 40, 0)).To(gomega.Equal(10))
+	g.Expect(sent(3, 40, 10)).To(gomega.Equal(8), "while the more urgent workspaces are refused")
+	g.Expect(sent(6, 40, 0)).To(gomega.Equal(8), "a rank of the most urgent workspaces")
+}
--- a/schedule/service.go
+++ b/schedule/service.go
@@ -122,9 +122,14 @@
 }
 
 // isOverserved reports whether the served share of a rank exceeds that of the next more
-// urgent rank, with a margin of servedShareMargin. Ranks 0 and 1 are never overserved.
+// urgent rank, with a margin of servedShareMargin. Ranks 0 and 1 are never overserved, and those
+// of workspaces below the most urgent ones only while the next more urgent rank is refused requests:
+// there may be many such ranks, which have most of the load.
 func (s *service) isOverserved(rank int) bool {
 	above := s.ranks[rank-1]
+	if s.fair.isOfLowerWorkspace(rank) && above != nil && above.served.ratio() >= lowServedShare {
+		return false
+	}
 	return rank > 1 && above != nil && s.rankState(rank).served.ratio()*servedShareMargin > above.served.ratio()
 }
 
