--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -67,6 +67,7 @@
 			EvacuationBound: node.EvacuationBound,
 			DirectoryTTL:    node.DirectoryTTL, LinkBytesPerSecond: node.LinkBytesPerSecond, Cores: node.Cores, ResendRatio: node.ResendRatio, ResendAllowance: node.ResendAllowance,
 			ResendWindow: node.ResendWindow, ColdBound: cold.Bound{Excess: node.ColdExcess, Slack: node.ColdSlack},
+			MemoryBytes: node.MemoryMB << 20, MaxDescriptors: node.MaxDescriptors,
 		}, platform.Dialect{}, platform.NewRegistry(node.RegistryAddress),
 			ingress.Handlers{Directory: platform.DirectoryHandler, Readiness: platform.ReadinessHandler}, log, metrics)
 	})
--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -67,6 +67,7 @@
 	}
 	if r.route.ToModelEngine {
 		r.scheduling.Model, r.scheduling.OutputTokens = r.Model, r.MaxOutputTokens
+		r.scheduling.PromptTokens, r.scheduling.GapTarget = r.PromptTokens, r.route.TargetGap
 	}
 	i.applyShare(r)
 	if r.route.Kind == catalog.Stream {
@@ -86,7 +87,7 @@
 			i.recordSound(r)
 		}
 		i.copyResponseHead(r, response)
-		r.ctx.Response.SetBodyRaw(body)
+		i.setResponseBody(r, body)
 		response.http.Close()
 		i.releaseServer(r, response.server.ID, schedule.Completed)
 		r.stopCallerWatch()
@@ -152,6 +153,7 @@
 	i.mu.Lock()
 	decision := i.scheduler.Submit(submittedAt, &r.scheduling)
 	server := i.scheduler.Server(decision.Server)
+	r.urgency = i.scheduler.Urgency(submittedAt, &r.scheduling)
 	i.mu.Unlock()
 	if decision.Queued {
 		select {
@@ -170,6 +172,7 @@
 		r.queueTime += time.Since(submittedAt)
 		i.mu.Lock()
 		server = i.scheduler.Server(decision.Server)
+		r.urgency = i.scheduler.Urgency(time.Now(), &r.scheduling)
 		i.mu.Unlock()
 	}
 	if decision.Server == "" {
@@ -232,7 +235,7 @@
 	body := r.ctx.Request.Body()
 	urgency := -1
 	if r.route.ToModelEngine {
-		urgency = r.rank
+		urgency = r.urgency
 	}
 	head := make([]byte, 0, 1024+len(body))
 	head = i.dialect.AppendHead(head, &r.ctx.Request.Header, fuchsiarouter.UpstreamHeaders{
@@ -268,6 +271,7 @@
 		text, r.deadline, func(header *fasthttp.ResponseHeader) exchange.Match {
 			reply := i.dialect.ParseResponse(header, r.AttemptID)
 			i.recordAvailability(r, server, reply)
+			i.recordLoad(server, reply)
 			i.recordCold(server, reply)
 			switch {
 			case reply.MatchesRequest:
@@ -285,9 +289,7 @@
 	if now := time.Now(); i.stallDetector.recordProgress(now, r.activeAttempt) {
 		i.resumeServer(now, server.ID)
 	}
-	i.mu.Lock()
-	i.scheduler.RecordFirstEvent(r.service, r.rank, time.Since(sentAt))
-	i.mu.Unlock()
+	i.recordFirstEvent(r, server.ID, time.Since(sentAt), isSuccess(httpResponse.Header.StatusCode()))
 	return &serverResponse{server: server, http: httpResponse, reply: i.dialect.ParseResponse(httpResponse.Header, r.AttemptID)}, nil
 }
 
@@ -430,6 +432,9 @@
 func (i *Ingress) bodyProgress(r *request) func(total int) {
 	recorded := 0
 	return func(total int) {
+		if total > largeResponseBytes {
+			i.awaitResponseMemory(r, total)
+		}
 		if steps := total / progressBytes; steps > recorded {
 			recorded = steps
 			// If a hedge has replaced the attempt, the next read fails.
@@ -467,5 +472,6 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.scheduler.RemoveSend(server, &r.scheduling)
 	i.scheduler.Release(time.Now(), server, r.service, outcome)
 }
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/budget"
 	"github.com/fuchsiarouter/fuchsiarouter/caller"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 	"github.com/fuchsiarouter/fuchsiarouter/result"
@@ -74,6 +75,8 @@
 
 	// scheduling is the request in the form that is submitted to the scheduler.
 	scheduling schedule.Request
+	// urgency is the urgency that the engine of the last attempt is told.
+	urgency int
 	// activeAttempt is set while the request is in flight at a server.
 	activeAttempt *activeAttempt
 	// possibleRuns is the number of failed attempts in which a server may have run the
@@ -108,6 +111,14 @@
 	// passedOnBytes is the number of bytes of a streamed response that were passed on to the HTTP
 	// server, which writes them to the caller.
 	passedOnBytes int
+	// bodyHold is the memory of the body, nil if the body is short.
+	bodyHold *budget.Hold
+	// responseHold is the memory of a large response while it is read, and responseBytes the part
+	// of the response for which it has room.
+	responseHold  *budget.Hold
+	responseBytes int
+	// retryAfter is the delay that the response to a refused request states, 0 if none.
+	retryAfter time.Duration
 	// finished is set once the end of the request is recorded.
 	finished bool
 }
@@ -143,7 +154,10 @@
 	if i.draining.Load() || int(i.callerServer.GetOpenConnectionsCount()) > i.settings.MaxKeptConnections {
 		ctx.SetConnectionClose()
 	}
-	failure := i.admit(r)
+	failure := i.readBody(r)
+	if failure == nil {
+		failure = i.admit(r)
+	}
 	if failure == nil {
 		i.cancelAtStop(r)
 		r.callerWatch = caller.New(ctx.Conn(), callerWatchDelay)
@@ -296,6 +310,7 @@
 	response.Header.Set(result.HeaderResult, failure.Code.String())
 	response.Header.Set(result.HeaderRan, string(failure.Code.Ran))
 	if failure.RetryAfter > 0 {
+		r.retryAfter = failure.RetryAfter
 		response.Header.Set(fasthttp.HeaderRetryAfter, strconv.FormatFloat(failure.RetryAfter.Seconds(), 'f', 2, 64))
 	}
 	response.SetBody(failure.Body())
@@ -335,6 +350,7 @@
 		return
 	}
 	r.finished = true
+	r.releaseBody()
 	i.inFlight.Add(-1)
 	if code != result.OK && r.callerCtx != nil && errors.Is(context.Cause(r.callerCtx), errStopped) {
 		i.requestsEndedByStop.Add(1)
@@ -385,6 +401,9 @@
 	if detail != "" {
 		fields = append(fields, zap.String("detail", detail))
 	}
+	if r.retryAfter > 0 {
+		fields = append(fields, zap.Duration("retry-after", r.retryAfter))
+	}
 	fields = append(fields, i.stopFields()...)
 	i.requestLog.write("request ended", fields)
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -49,8 +49,8 @@
 	// headBufferBytes is the buffer size for the head of a request. The platform allows
 	// heads of up to 16 KiB.
 	headBufferBytes = 20 << 10
-	// maxBodyBytes bounds the request bodies that the HTTP server reads. The limit of the
-	// configuration, which can change at any time, is applied after that.
+	// maxBodyBytes bounds the request bodies whatever the configuration, which can change at any
+	// time, allows.
 	maxBodyBytes = 16 << 20
 	// idleTimeout is the time without a request after which a connection is closed,
 	// because its caller may be gone without having closed it. Callers keep a connection
@@ -60,6 +60,8 @@
 	// before they are closed after a response. The others are for the connections to servers and
 	// daemons, and for those of callers that are being served.
 	callerConnectionShare = 0.5
+	// maxControlBodyBytes bounds the bodies of requests other than those of callers, which have none.
+	maxControlBodyBytes = 4 << 10
 	// readTimeout bounds the time for reading one request.
 	readTimeout = 20 * time.Second
 	// keyRevocationMargin is subtracted from Settings.KeyRevocation to get the age up to
@@ -79,8 +81,11 @@
 	// frozen entry add up to 1.25 s.
 	relayPollWait = 250 * time.Millisecond
 	// rosterWait is how long reads of the registry wait at the start for the list of the
-	// registered entries. The list takes a few ms unless the registry is down or slow.
-	rosterWait = 500 * time.Millisecond
+	// registered entries. The list takes a few ms unless the registry is down or slow, or all
+	// VMs start at once: then registering and reading it took 0.9 s over a link of 27 Mbit/s
+	// between regions. With 0.5 s, 19 entries of a zone read a configuration of 490 KB over
+	// that link, which took 2.7 s.
+	rosterWait = 1500 * time.Millisecond
 	// resendSafetyFactor is the fraction of the allowed resends that the entry uses,
 	// because the windows in which different entries count do not begin at the same time.
 	resendSafetyFactor = 0.6
@@ -132,8 +137,13 @@
 	// ColdBound bounds the requests to a cold server.
 	ColdBound cold.Bound
 	// MaxKeptConnections is the number of open connections of callers above which connections are
-	// closed after a response. With 0, it follows from the descriptors of the process.
+	// closed after a response. With 0, it follows from the descriptors and the memory of the process.
 	MaxKeptConnections int
+	// MemoryBytes is the memory of the process, which is killed when it exceeds it, and
+	// MaxDescriptors the number of descriptors that it may open. With 0, the memory is not limited
+	// and the descriptors are those that the operating system allows.
+	MemoryBytes    int
+	MaxDescriptors int
 }
 
 // Handlers creates the platform-specific HTTP handlers.
@@ -158,7 +168,9 @@
 	// mirror is this entry's copy of the registry.
 	mirror *mirror.Mirror
 	// upstream holds the connections to the backend servers.
-	upstream   *exchange.Client
+	upstream *exchange.Client
+	// memory bounds what is held for callers and servers.
+	memory     *memoryGuard
 	log        *zap.Logger
 	requestLog *requestLog
 	metrics    requestMetrics
@@ -224,6 +236,8 @@
 	unknownNames unknownNames
 	// pauseMalformed is set after the first pause of a server that is not in seconds.
 	pauseMalformed atomic.Bool
+	// loadMalformed is set after the first load of a server that cannot be read.
+	loadMalformed atomic.Bool
 	// coldMalformed is set after the first cold time outside the range.
 	coldMalformed atomic.Bool
 	// inFlight is the number of requests of callers that have not ended.
@@ -258,14 +272,15 @@
 		declaredVersions: map[string][]catalog.DeclaredVersion{}, peerHTTP: relay.NewHTTPClient(), startedUnixMs: time.Now().UnixMilli(),
 		stop: make(chan struct{}), rosterRead: make(chan struct{}), rosterWaitOver: make(chan struct{}),
 	}
-	if i.settings.MaxKeptConnections == 0 {
-		i.settings.MaxKeptConnections = int(callerConnectionShare * float64(tcp.DescriptorLimit()))
-	}
+	i.settings.MaxKeptConnections, _ = connectionLimits(settings)
+	i.memory = newMemoryGuard(settings.MemoryBytes, func() int { return int(i.callerServer.GetOpenConnectionsCount()) }, log, metrics.Scope)
 	i.lifetime, i.endLifetime = context.WithCancelCause(context.Background())
 	i.unanswered, i.endUnanswered = context.WithCancelCause(i.lifetime)
 	time.AfterFunc(rosterWait, func() { close(i.rosterWaitOver) })
 	i.roster = roster.New(i.selfEntry())
-	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{RelayWait: relayPollWait, EvacuationBound: settings.EvacuationBound}, log, i.applyView)
+	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{
+		RelayWait: relayPollWait, VersionDeadline: settings.VersionDeadline, EvacuationBound: settings.EvacuationBound,
+	}, log, i.applyView)
 	if err := i.listen(handlers, metrics); err != nil {
 		i.mirror.Close()
 		return nil, err
@@ -306,10 +321,11 @@
 
 // listen starts the HTTP servers and opens the socket for status messages.
 func (i *Ingress) listen(handlers Handlers, metrics telemetry.Metrics) error {
+	_, maxConnections := connectionLimits(i.settings)
 	i.callerServer = &fasthttp.Server{
-		Handler: i.serve, ErrorHandler: i.handleParseError,
-		ReadBufferSize: headBufferBytes, MaxRequestBodySize: maxBodyBytes,
-		IdleTimeout: idleTimeout, ReadTimeout: readTimeout,
+		Handler: i.serve, ErrorHandler: i.handleParseError, HeaderReceived: i.configureRequest,
+		ReadBufferSize: headBufferBytes, MaxRequestBodySize: maxBodyBytes, StreamRequestBody: true,
+		IdleTimeout: idleTimeout, ReadTimeout: readTimeout, WriteTimeout: responseWriteTimeout, Concurrency: maxConnections,
 		// A multipart form that is parsed is not forwarded byte for byte: fasthttp writes it anew.
 		DisablePreParseMultipartForm: true,
 		NoDefaultServerHeader:        true, NoDefaultDate: true, NoDefaultContentType: true,
@@ -353,7 +369,7 @@
 // platform, and for the directory.
 func newControlServer(handler fasthttp.RequestHandler) *fasthttp.Server {
 	return &fasthttp.Server{
-		Handler: handler, IdleTimeout: time.Minute, ReadTimeout: readTimeout,
+		Handler: handler, IdleTimeout: time.Minute, ReadTimeout: readTimeout, MaxRequestBodySize: maxControlBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true,
 	}
 }
@@ -365,6 +381,9 @@
 	i.reportUnknownZones(view)
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	if view.Configuration != nil {
+		i.scheduler.SetServices(view.Configuration.Services)
+	}
 	i.applyColdServices(view)
 	i.applyFairShares(view.Configuration)
 	i.scheduler.SetEvacuatedZones(time.Now(), view.EvacuatedZones)
@@ -397,6 +416,7 @@
 			i.mu.Unlock()
 			i.logColdEvents(coldEvents)
 			i.checkStalls(now)
+			i.memory.Trim(now)
 			if now.Sub(lastSweep) > time.Second {
 				lastSweep = now
 				servers := i.mirror.View().Servers
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -175,15 +175,22 @@
 		return nil, errors.Wrap(err, "listen at piece address")
 	}
 	l.server = &fasthttp.Server{
-		Handler: l.handler(metrics), IdleTimeout: 10 * time.Second, ReadTimeout: 10 * time.Second,
+		Handler: l.handler(metrics), IdleTimeout: 10 * time.Second, ReadTimeout: 10 * time.Second, MaxRequestBodySize: maxRequestBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
-	l.mirror = mirror.New(registry, l.topicSources, mirror.Settings{OperatorWait: operatorPollTimeout, ServersInterval: serversPollInterval},
+	// wasComplete is set if the last view had the configuration and the servers. The topics are
+	// read one after the other, so they may follow the declarations.
+	wasComplete := false
+	l.mirror = mirror.New(registry, l.topicSources, mirror.Settings{
+		OperatorWait: operatorPollTimeout, ServersInterval: serversPollInterval, VersionDeadline: settings.VersionDeadline,
+	},
 		log, func(view *catalog.View) {
-			if l.recordDeclarations(view) {
+			isComplete := view.Configuration != nil && len(view.Servers) > 0
+			if l.recordDeclarations(view) || isComplete && !wasComplete {
 				l.reconcileNow()
 				signal(l.wakeFetch)
 			}
+			wasComplete = isComplete
 		})
 	l.done.Go(func() {
 		if err := l.server.Serve(listener); err != nil {
@@ -196,6 +203,9 @@
 	return l, nil
 }
 
+// maxRequestBodyBytes bounds the bodies of requests of other loaders, which have none.
+const maxRequestBodyBytes = 4 << 10
+
 // minPieceRate is the lower bound, in bytes per second, of the limit of the rate at which
 // pieces are served. It applies to a machine without a configured bandwidth.
 const minPieceRate = 100 << 10
--- a/schedule/request.go
+++ b/schedule/request.go
@@ -38,6 +38,11 @@
 	// OutputTokens is the maximum number of tokens that the request asks the model to
 	// generate, 0 if unspecified.
 	OutputTokens int
+	// PromptTokens is the number of tokens of the prompt, 0 if unspecified.
+	PromptTokens int
+	// GapTarget is the target for the longest pause between the events of the response, 0
+	// without one.
+	GapTarget time.Duration
 	// AllowedRegions are the regions in which the request may be served. Nil allows all.
 	AllowedRegions catalog.RegionSet
 	// TriedServers are the IDs of the servers that the request was already sent to.
@@ -94,7 +99,8 @@
 // Reasons for refusing a request.
 const (
 	// NoServer means that no server of the service can run the request, even when idle:
-	// each one is leaving, was replaced, has been tried or does not hold the model.
+	// each one is leaving, was replaced, has been tried or holds no version of the model on which
+	// the request may begin.
 	NoServer RefusalReason = "no-server"
 	// RegionUnavailable is NoServer for a request that may be served only in some regions: no server
 	// there can run it.
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -135,7 +135,7 @@
 	minRetryAfter = 900 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 	// noServerRetryAfter is the minimum delay before a retry of a request that no server
-	// can run: engines need seconds to get their weights.
+	// can run, if no loader reports when one can: engines need seconds to get their weights.
 	noServerRetryAfter = 1200 * time.Millisecond
 	// retryJitter is the upper limit of the random delay that is added to the retry delay,
 	// so that refused requests are not retried all at once. The sum is capped at
@@ -271,7 +271,9 @@
 	for _, server := range s.servers {
 		if server.Address == engine.Address && !engine.Number.IsSupersededBy(server.loaderStateNumber) {
 			server.loaderStateNumber = engine.Number
+			wasLoading := server.loadingWeights && now.Before(server.loaderStateUntil)
 			server.loaderVersions, server.loadingWeights, server.loaderStateUntil = engine.Versions, engine.LoadingWeights, now.Add(loaderStateTTL)
+			server.recordLoad(now, wasLoading)
 			server.nextLoadAt = time.Time{}
 			if engine.TimeToLoad > 0 {
 				server.nextLoadAt = now.Add(engine.TimeToLoad)
@@ -282,7 +284,8 @@
 }
 
 // RequireVersion sets the lowest version of a model on which requests may begin from now
-// on. Requests that were already sent to a server are not affected.
+// on. Requests that were already sent to a server are not affected; Tick refuses those in the queue
+// that no server can run in time any more.
 func (s *Scheduler) RequireVersion(model string, version int) { s.requiredVersions[model] = version }
 
 // SetRequestsElsewhere replaces the counts of the requests that the other entries have in
@@ -326,10 +329,12 @@
 	countsForShare := len(request.TriedServers) == 0 && !late
 	if countsForShare {
 		rank.served.countRequest(now)
+		if svc.countsEngineTime(now, request) {
+			svc.engine.countPrompt(now, request, (*servedShare).countRequest)
+		}
 	}
 	if selected := s.selectFair(now, svc, request); selected != nil {
-		selected.localRequests++
-		s.reserveCold(selected)
+		s.assign(now, svc, selected, request)
 		svc.fair.serve(request)
 		rank.dispatchRate.count(now)
 		if countsForShare {
@@ -347,6 +352,12 @@
 		request.queuePriority += lateRankPenalty
 		request.queueDeadline = now.Add(min(maxLateWait, request.Deadline.Sub(now)/4))
 	}
+	var deficit time.Duration
+	s.lastSequence++
+	request.sequence = s.lastSequence
+	if svc.countsEngineTime(now, request) {
+		deficit = svc.prepareQueueing(now, request)
+	}
 	if latestDispatch := request.AbandonAt.Add(-rank.timeToFirstEvent); !request.AbandonAt.IsZero() && latestDispatch.Before(request.queueDeadline) {
 		request.queueDeadline = latestDispatch
 	}
@@ -357,12 +368,10 @@
 		return refusal
 	}
 	wait := svc.fair.wait(request, svc.waitInRegions(request, svc.expectedWait(now, request)))
-	if now.Add(wait).After(request.queueDeadline) {
+	if deficit > 0 || now.Add(wait).After(request.queueDeadline) {
 		svc.fair.refuse(request)
-		return Decision{Reason: Overloaded, RetryAfter: svc.shareRetryAfter(now, request, wait)}
+		return Decision{Reason: Overloaded, RetryAfter: svc.shareRetryAfter(now, request, max(wait, deficit))}
 	}
-	s.lastSequence++
-	request.sequence = s.lastSequence
 	request.queued = true
 	position, _ := slices.BinarySearchFunc(svc.queue, request, compareQueueOrder)
 	svc.queue = slices.Insert(svc.queue, position, request)
@@ -388,18 +397,6 @@
 	}
 }
 
-// hasEligibleServer reports whether any server could run the request now or later,
-// regardless of its load, of suspensions and of the required version, which a server may
-// still load.
-func (s *Scheduler) hasEligibleServer(now time.Time, svc *service, request *Request) bool {
-	for _, candidate := range svc.servers {
-		if candidate.isEligible(now, request, 0) {
-			return true
-		}
-	}
-	return false
-}
-
 // Cancel removes a request from the queue without a call of OnDecision. It returns false
 // if the request was not queued, or no longer.
 func (s *Scheduler) Cancel(request *Request) bool {
@@ -414,10 +411,12 @@
 }
 
 // Tick assigns servers to the queued requests that can be sent now and refuses those whose
-// queue deadline has passed. It delivers both decisions to OnDecision.
+// queue deadline has passed, or that no server will hold the required version for in time. It
+// delivers both decisions to OnDecision.
 func (s *Scheduler) Tick(now time.Time) {
 	for _, svc := range s.services {
 		s.dispatchQueued(now, svc)
+		s.refuseWithoutVersions(now, svc)
 		for i := len(svc.queue) - 1; i >= 0; i-- {
 			request := svc.queue[i]
 			if now.After(request.queueDeadline) {
@@ -435,6 +434,10 @@
 	if len(svc.queue) == 0 {
 		return
 	}
+	if svc.engine.isOn(now) {
+		s.dispatchByEngineTime(now, svc)
+		return
+	}
 	skipped := map[*Request]bool{}
 	for {
 		request := s.nextFair(now, svc, svc.nextQueued(skipped), skipped)
@@ -449,8 +452,7 @@
 			skipped[request] = true
 			continue
 		}
-		selected.localRequests++
-		s.reserveCold(selected)
+		s.assign(now, svc, selected, request)
 		s.Cancel(request)
 		svc.fair.serve(request)
 		rank := svc.rankState(request.Rank)
--- a/schedule/server.go
+++ b/schedule/server.go
@@ -9,6 +9,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/availability"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 	"github.com/fuchsiarouter/fuchsiarouter/cold"
+	"github.com/fuchsiarouter/fuchsiarouter/workload"
 )
 
 // server is the scheduling state of a backend server.
@@ -42,6 +43,8 @@
 	cold *cold.Server
 	// replaced is set when another incarnation has answered at the server's address.
 	replaced bool
+	// loadingSince is when the loader first reported the current load.
+	loadingSince time.Time
 	// loaderVersions, loadingWeights and nextLoadAt are the state that the loader on the
 	// VM of the server reported. They take precedence over the registration until
 	// loaderStateUntil. nextLoadAt is zero if no load is planned.
@@ -51,6 +54,8 @@
 	loaderStateUntil time.Time
 	// loaderStateNumber is the number of that state, 0 if it has none.
 	loaderStateNumber fuchsiarouter.StateNumber
+	// work is what is known of the engine time that the requests at the server take.
+	work workload.Server
 }
 
 // isEligible reports whether the server may run the request, regardless of its load: it
--- a/supply/supply_test.go
+++ b/supply/supply_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 
@@ -156,6 +157,91 @@
 	}
 }
 
+// TestPiecesArePassedOnInTrees guards against importers that send a piece to every loader of a
+// zone, against loaders that wait for one another in a circle, also if each takes others for
+// failed, and against loaders that don't say that others wait for them.
+func TestPiecesArePassedOnInTrees(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const loaders = 32
+	random := rand.New(rand.NewPCG(1, 2))
+	for round := range 20 {
+		all := fleet(loaders)
+		plans := map[string]*supply.Plan{}
+		for self := range all {
+			view := slices.Clone(all)
+			for i := range view {
+				view[i].Failed = i != self && round > 0 && random.IntN(8) == 0
+			}
+			plans[all[self].ID] = plan(view, self)
+		}
+		for piece := range pieceCount {
+			children := map[string]int{}
+			for i := range all {
+				id, steps := all[i].ID, 0
+				for ; id != supply.Origin && steps <= len(all); steps++ {
+					id = plans[id].Source(piece)
+				}
+				g.Expect(id).To(gomega.Equal(supply.Origin), "the piece arrives")
+				source := plans[all[i].ID].Source(piece)
+				if source != supply.Origin && source[0] == all[i].ID[0] {
+					children[source]++
+				}
+			}
+			for id, count := range children {
+				if round == 0 {
+					g.Expect(plans[id].PassesOn(piece) || count == 1).To(gomega.BeTrue(), "an origin fetcher serves the importer only")
+					g.Expect(count).To(gomega.BeNumerically("<=", 7), "six, and the importer if it is the origin fetcher")
+				}
+			}
+		}
+	}
+	all := fleet(4)
+	all[0].Complete, all[1].Complete = true, true
+	for piece := range pieceCount {
+		g.Expect(plan(all, 2).PassesOn(piece)).To(gomega.BeFalse())
+	}
+}
+
+// TestFewHoldersDoNotSendAllCopies guards against a zone that waits for the few loaders which hold a
+// version, after the others were killed before they had it: the copies that each loader sends are
+// bounded, each piece comes from a holder in the end, and a failed loader is skipped.
+func TestFewHoldersDoNotSendAllCopies(t *testing.T) {
+	g := gomega.NewWithT(t)
+	const loaders, pieces = 33, 96
+	all := fleet(loaders)
+	holders := 0
+	for i := range all {
+		if all[i].AvailabilityZone == all[0].AvailabilityZone && holders < 4 {
+			all[i].Complete = true
+			holders++
+		}
+	}
+	for _, failed := range []bool{false, true} {
+		sent := map[string]int{}
+		for self := range all {
+			if all[self].Complete || all[self].AvailabilityZone != all[0].AvailabilityZone || failed && self == loaders-1 {
+				continue
+			}
+			for piece := range pieces {
+				source := plan(all, self).Source(piece)
+				sent[source]++
+				index := slices.IndexFunc(all, func(s supply.Supplier) bool { return s.ID == source })
+				g.Expect(index).NotTo(gomega.Equal(-1))
+				g.Expect(all[index].Failed).To(gomega.BeFalse())
+				for steps := 0; !all[index].Complete; steps++ {
+					g.Expect(steps).To(gomega.BeNumerically("<", 4))
+					next := plan(all, index).Source(piece)
+					index = slices.IndexFunc(all, func(s supply.Supplier) bool { return s.ID == next })
+				}
+			}
+		}
+		for _, count := range sent {
+			g.Expect(count).To(gomega.BeNumerically("<=", 2*pieces+pieces/2))
+		}
+		all[loaders-1].Failed = true
+	}
+}
+
 // TestOnlyLocalHoldersServeUnassignedPieces guards against loaders that each fetch a whole
 // version over a link between zones, for example after a power loss that leaves the
 // weights in one zone only.
