--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -430,14 +430,6 @@
 			skipped[request] = true
 			continue
 		}
-		s.assign(now, svc, selected, request)
-		s.Cancel(request)
-		svc.fair.serve(request)
-		rank := svc.rankState(request.Rank)
-		rank.dispatchRate.count(now)
-		if request.queuePriority == request.Rank && len(request.TriedServers) == 0 {
-			rank.served.countDispatch(now)
-		}
-		request.OnDecision(Decision{Server: selected.ID})
+		s.dispatch(now, svc, selected, request)
 	}
 }
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -452,16 +452,22 @@
 			skipped[request] = true
 			continue
 		}
-		s.assign(now, svc, selected, request)
-		s.Cancel(request)
-		svc.fair.serve(request)
-		rank := svc.rankState(request.Rank)
-		rank.dispatchRate.count(now)
-		if request.queuePriority == request.Rank && len(request.TriedServers) == 0 {
-			rank.served.countDispatch(now)
-		}
-		request.OnDecision(Decision{Server: selected.ID})
+		s.dispatch(now, svc, selected, request)
+	}
+}
+
+// dispatch assigns a queued request to the server that was selected for it and delivers the decision
+// to OnDecision.
+func (s *Scheduler) dispatch(now time.Time, svc *service, selected *server, request *Request) {
+	s.assign(now, svc, selected, request)
+	s.Cancel(request)
+	svc.fair.serve(request)
+	rank := svc.rankState(request.Rank)
+	rank.dispatchRate.count(now)
+	if request.queuePriority == request.Rank && len(request.TriedServers) == 0 {
+		rank.served.countDispatch(now)
 	}
+	request.OnDecision(Decision{Server: selected.ID})
 }
 
 // Server returns the server with the given ID, or nil.
