--- a/cold/cold.go
+++ b/cold/cold.go
@@ -155,6 +155,14 @@
 	return &Limiter{self: self, zone: zone, bound: bound, generation: 1}
 }
 
+// Clone returns a copy without events, with which Allows and Reserve can be called on copies of
+// servers.
+func (l *Limiter) Clone() *Limiter {
+	copied := *l
+	copied.events = nil
+	return &copied
+}
+
 // SetServices replaces the services with cold servers. It reports whether they have changed.
 func (l *Limiter) SetServices(services map[string]Service) bool {
 	if len(services) == len(l.services) {
--- a/cold/server.go
+++ b/cold/server.go
@@ -183,6 +183,13 @@
 // Withheld returns how often a server was left out because of its limit.
 func (l *Limiter) Withheld() uint64 { return l.withheld }
 
+// Clone returns a copy that can be changed independently.
+func (s *Server) Clone() *Server {
+	copied := *s
+	copied.pending = slices.Clone(s.pending)
+	return &copied
+}
+
 // IsLimited reports whether the server is cold or in its slow start, as of the last call of
 // Allows. It is false for nil.
 func (s *Server) IsLimited() bool { return s != nil && s.limited }
--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -122,6 +122,17 @@
 	return &Shares{weights: weights, states: map[key]*state{}, entries: 1}
 }
 
+// Clone returns a copy that can be changed independently.
+func (s *Shares) Clone() *Shares {
+	copied := *s
+	copied.states = make(map[key]*state, len(s.states))
+	for id, known := range s.states {
+		known := *known
+		copied.states[id] = &known
+	}
+	return &copied
+}
+
 func (s *Shares) weight(workspace string) float64 {
 	if weight := s.weights[workspace]; weight > 0 && !math.IsInf(weight, 1) {
 		return weight
--- a/schedule/enginetime.go
+++ b/schedule/enginetime.go
@@ -352,17 +352,24 @@
 	c.consider(candidate, candidate.work.Elsewhere(c.now, candidate.requestsElsewhere))
 }
 
-// consider selects a server if it is the best one so far at which the response can begin in time.
-func (c *choice) consider(candidate *server, elsewhere int) {
-	engine := &c.svc.engine
-	prediction := engine.model.Predict(c.now, &candidate.work, candidate.localRequests, elsewhere, c.reading)
+// predict predicts the times of a further request at a server, with what is not known of the requests
+// there and of a load of weights.
+func (e *engineTime) predict(now time.Time, candidate *server, elsewhere int, reading float64) workload.Prediction {
+	prediction := e.model.Predict(now, &candidate.work, candidate.localRequests, elsewhere, reading)
 	if !candidate.preferred {
 		prediction.FirstEvent += countError
 	}
-	loading := candidate.loadingWeights && c.now.Before(candidate.loaderStateUntil)
-	if loading {
+	if candidate.loadingWeights && now.Before(candidate.loaderStateUntil) {
 		prediction.FirstEvent += loadingWait
 	}
+	return prediction
+}
+
+// consider selects a server if it is the best one so far at which the response can begin in time.
+func (c *choice) consider(candidate *server, elsewhere int) {
+	engine := &c.svc.engine
+	prediction := engine.predict(c.now, candidate, elsewhere, c.reading)
+	loading := candidate.loadingWeights && c.now.Before(candidate.loaderStateUntil)
 	if !engine.hasBest || prediction.FirstEvent < engine.best {
 		engine.best, engine.hasBest = prediction.FirstEvent, true
 	}
--- a/schedule/schedule.go
+++ b/schedule/schedule.go
@@ -321,16 +321,8 @@
 // the servers of all earlier attempts.
 func (s *Scheduler) Submit(now time.Time, request *Request) Decision {
 	svc := s.serviceFor(request.Service)
-	late := request.missedTarget(now)
-	request.late = late
-	rank := svc.rankState(request.Rank)
-	countsForShare := len(request.TriedServers) == 0 && !late
-	if countsForShare {
-		rank.served.countRequest(now)
-		if svc.countsEngineTime(now, request) {
-			svc.engine.countPrompt(now, request, (*servedShare).countRequest)
-		}
-	}
+	rank, countsForShare := s.countSubmitted(now, svc, request)
+	late := request.late
 	if selected := s.selectFair(now, svc, request); selected != nil {
 		s.assign(now, svc, selected, request)
 		svc.fair.serve(request)
@@ -377,6 +369,21 @@
 	return Decision{Queued: true}
 }
 
+// countSubmitted counts a request that is submitted for the served shares. It returns the state of its
+// rank, and whether the request counts for the share of the rank.
+func (s *Scheduler) countSubmitted(now time.Time, svc *service, request *Request) (*rankState, bool) {
+	request.late = request.missedTarget(now)
+	rank := svc.rankState(request.Rank)
+	countsForShare := len(request.TriedServers) == 0 && !request.late
+	if countsForShare {
+		rank.served.countRequest(now)
+		if svc.countsEngineTime(now, request) {
+			svc.engine.countPrompt(now, request, (*servedShare).countRequest)
+		}
+	}
+	return rank, countsForShare
+}
+
 // RecordFirstEvent updates the moving average of the time from sending a request of the
 // service and rank to the first event of its response. The average determines until when
 // a request may be queued.
--- a/workload/server.go
+++ b/workload/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 )
 
@@ -70,6 +71,13 @@
 	elsewhereAt time.Time
 }
 
+// Clone returns a copy that can be changed independently.
+func (s *Server) Clone() Server {
+	copied := *s
+	copied.sends = slices.Clone(s.sends)
+	return copied
+}
+
 // Add records that a request was assigned to the server.
 func (s *Server) Add(send Send) { s.sends = append(s.sends, send) }
 
