ingress: answer where a request would go at the peer address

Cause: only the entry itself knows why it would queue, refuse or place a request.

Change: GET /explain beside the metrics and records looks up the configuration, route and workspace with the functions that admit uses, factored out of it, and answers with Scheduler.Explain as JSON. The HTTP servers for daemons and operators log only the kind of the error of a connection: fasthttp's errors repeat the request, with the key, even with SecureErrorLogMessage (seen in a trial with a first line without spaces).

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -52,23 +52,8 @@
 func (i *Ingress) forward(r *request) *result.Error {
 	now := time.Now()
 	i.withResendBudget(r.service, func(budget *resendBudget) { budget.RecordRequest(now) })
-	targetDelay := r.route.TargetLatency
-	if targetDelay <= 0 {
-		targetDelay = r.route.Timeout
-	}
 	r.sinceFirstSend = i.timeSinceFirstSend(r)
-	r.scheduling = schedule.Request{
-		Service: r.service, Rank: r.rank, Workspace: r.workspace, Arrived: r.received,
-		FirstEventTarget: r.received.Add(targetDelay - r.sinceFirstSend), Deadline: r.deadline,
-		AllowedRegions: r.allowedRegions,
-	}
-	if r.route.Patience > 0 {
-		r.scheduling.AbandonAt = r.received.Add(r.route.Patience)
-	}
-	if r.route.ToModelEngine {
-		r.scheduling.Model, r.scheduling.OutputTokens = r.Model, r.MaxOutputTokens
-		r.scheduling.PromptTokens, r.scheduling.GapTarget = r.PromptTokens, r.route.TargetGap
-	}
+	r.scheduling = r.newScheduling()
 	if r.route.Kind == catalog.Stream {
 		return i.runStream(r)
 	}
@@ -95,6 +80,27 @@
 	}
 }
 
+// newScheduling returns the request in the form that is submitted to the scheduler.
+func (r *request) newScheduling() schedule.Request {
+	targetDelay := r.route.TargetLatency
+	if targetDelay <= 0 {
+		targetDelay = r.route.Timeout
+	}
+	scheduling := schedule.Request{
+		Service: r.service, Rank: r.rank, Workspace: r.workspace, Arrived: r.received,
+		FirstEventTarget: r.received.Add(targetDelay - r.sinceFirstSend), Deadline: r.deadline,
+		AllowedRegions: r.allowedRegions,
+	}
+	if r.route.Patience > 0 {
+		scheduling.AbandonAt = r.received.Add(r.route.Patience)
+	}
+	if r.route.ToModelEngine {
+		scheduling.Model, scheduling.OutputTokens = r.Model, r.MaxOutputTokens
+		scheduling.PromptTokens, scheduling.GapTarget = r.PromptTokens, r.route.TargetGap
+	}
+	return scheduling
+}
+
 // timeSinceFirstSend estimates a lower bound for the time since the caller first sent the
 // request. A caller has one deadline for all its attempts and states in each of them the
 // time that is left. First attempts on a route are taken to state at least
--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -179,15 +179,9 @@
 		r.ctx.SetConnectionClose()
 		return failure
 	}
-	if i.rejecting.Load() {
-		return leavingError()
-	}
-	view, age := i.mirror.ViewWithAge()
-	r.configurationAge = age
-	if view.Configuration == nil {
-		return i.notReady("no configuration is known yet")
+	if failure := i.takeConfiguration(r); failure != nil {
+		return failure
 	}
-	r.configuration = view.Configuration
 	r.RequestHead = i.dialect.ParseRequest(header)
 	limits := r.configuration.Limits
 	if limits.HeaderBytes > 0 && len(header.RawHeaders()) > limits.HeaderBytes {
@@ -198,7 +192,35 @@
 		return result.BodyTooLarge.Error("the body is too large")
 	}
 	path, _, _ := bytes.Cut(header.RequestURI(), []byte("?"))
-	r.route = r.configuration.Route(hostName(header.Host()), string(path))
+	if failure := i.lookUpRoute(r, hostName(header.Host()), string(path)); failure != nil {
+		return failure
+	}
+	r.fingerprint = requestFingerprint(&r.ctx.Request, r.APIKey)
+	if failure := i.checkCrashes(r); failure != nil {
+		return failure
+	}
+	return i.checkStop(r)
+}
+
+// takeConfiguration sets the configuration that applies to a request. It returns an error if there is
+// none, or if this entry accepts no more requests.
+func (i *Ingress) takeConfiguration(r *request) *result.Error {
+	if i.rejecting.Load() {
+		return leavingError()
+	}
+	view, age := i.mirror.ViewWithAge()
+	r.configurationAge = age
+	if view.Configuration == nil {
+		return i.notReady("no configuration is known yet")
+	}
+	r.configuration = view.Configuration
+	return nil
+}
+
+// lookUpRoute sets the route and the workspace of a request, for a host without a port and a path
+// without a query, and what follows from them.
+func (i *Ingress) lookUpRoute(r *request, host, path string) *result.Error {
+	r.route = r.configuration.Route(host, path)
 	stale := r.configurationAge > staleConfigurationAge
 	if r.route == nil {
 		if stale {
@@ -220,10 +242,6 @@
 		r.workspace = workspace.Name
 		r.allowedRegions = r.allowedRegions.Intersect(workspace.AllowedRegions)
 	}
-	r.fingerprint = requestFingerprint(&r.ctx.Request, r.APIKey)
-	if failure := i.checkCrashes(r); failure != nil {
-		return failure
-	}
 	timeout := r.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -233,7 +251,7 @@
 	}
 	r.deadline = r.received.Add(timeout)
 	r.service = r.route.ServiceFor(r.AttemptID)
-	return i.checkStop(r)
+	return nil
 }
 
 // notReady returns the error for a request that this entry cannot serve now, but another
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -326,9 +326,9 @@
 		server  *fasthttp.Server
 	}{
 		{i.settings.CallerAddress, i.callerServer},
-		{i.settings.ReadinessAddress, newControlServer(handlers.Readiness(i.isReady))},
-		{i.settings.DirectoryAddress, newControlServer(handlers.Directory(i.callerAddresses))},
-		{i.settings.PeerAddress, newControlServer(i.peerHandler(recordHandler, metrics))},
+		{i.settings.ReadinessAddress, newControlServer(handlers.Readiness(i.isReady), i.requestLog)},
+		{i.settings.DirectoryAddress, newControlServer(handlers.Directory(i.callerAddresses), i.requestLog)},
+		{i.settings.PeerAddress, newControlServer(i.peerHandler(recordHandler, metrics), i.requestLog)},
 	} {
 		if endpoint.address == "" {
 			continue
@@ -356,10 +356,11 @@
 
 // newControlServer returns an HTTP server for the requests of other daemons and of the
 // platform, and for the directory.
-func newControlServer(handler fasthttp.RequestHandler) *fasthttp.Server {
+func newControlServer(handler fasthttp.RequestHandler, log *requestLog) *fasthttp.Server {
 	return &fasthttp.Server{
 		Handler: handler, IdleTimeout: time.Minute, ReadTimeout: readTimeout,
 		NoDefaultServerHeader: true, NoDefaultDate: true, CloseOnShutdown: true,
+		Logger: controlLog{log},
 	}
 }
 
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -1,7 +1,9 @@
 package ingress
 
 import (
+	"fmt"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -11,6 +13,7 @@
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
 
+	"github.com/fuchsiarouter/fuchsiarouter/explanation"
 	"github.com/fuchsiarouter/fuchsiarouter/result"
 	"github.com/fuchsiarouter/fuchsiarouter/telemetry"
 )
@@ -49,6 +52,20 @@
 	l.log.Info(message, fields...)
 }
 
+// controlLog writes the log lines of the HTTP servers for other daemons and operators, at the limited
+// rate of lines about requests. The error of a connection repeats parts of a request that cannot be
+// read, which may be an API key, so of such errors only the kind is written.
+type controlLog struct{ log *requestLog }
+
+// Printf implements fasthttp.Logger.
+func (l controlLog) Printf(format string, arguments ...any) {
+	message := format
+	if strings.Contains(format, "accepting") {
+		message = fmt.Sprintf(format, arguments...)
+	}
+	l.log.write("control connection failed", []zap.Field{zap.String("detail", message)})
+}
+
 // latencyBuckets are the upper bounds of the buckets of the latency histograms.
 var latencyBuckets = tally.DurationBuckets{
 	25 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 150 * time.Millisecond, 250 * time.Millisecond,
@@ -99,6 +116,8 @@
 	// otherRegionsListed counts the responses of the directory that list entries of other regions
 	// than the caller's although some requests may be served only in some regions.
 	otherRegionsListed tally.Counter
+	// explanations counts the explanations of requests that were given to operators.
+	explanations tally.Counter
 	// serverConnections is the number of open connections to backend servers.
 	serverConnections tally.Gauge
 }
@@ -125,6 +144,7 @@
 		requestsWithheld:   scope.Counter("requests_withheld"),
 		evacuatedZones:     scope.Gauge("evacuated_zones"),
 		otherRegionsListed: scope.Counter("directory_other_regions"),
+		explanations:       scope.Counter("explanations"),
 		serverConnections:  scope.Gauge("server_connections"),
 		coldServers:        scope.Gauge("servers_cold"),
 		coldWithheld:       scope.Counter("cold_withheld"),
@@ -179,14 +199,18 @@
 }
 
 // peerHandler returns the HTTP handler for other daemons: records serves their reads of
-// the registry, and the path /metrics serves the metrics.
+// the registry, the path /metrics serves the metrics, and explanation.Path says where a request would
+// go.
 func (i *Ingress) peerHandler(records fasthttp.RequestHandler, metrics telemetry.Metrics) fasthttp.RequestHandler {
 	page := fasthttpadaptor.NewFastHTTPHandler(http.HandlerFunc(metrics.Handler.ServeHTTP))
 	return func(ctx *fasthttp.RequestCtx) {
-		if string(ctx.Path()) == "/metrics" {
+		switch string(ctx.Path()) {
+		case "/metrics":
 			page(ctx)
-			return
+		case explanation.Path:
+			i.serveExplanation(ctx)
+		default:
+			records(ctx)
 		}
-		records(ctx)
 	}
 }
