--- a/operator/operator.go
+++ b/operator/operator.go
@@ -81,7 +81,7 @@
 		},
 		Commands: []*cli.Command{
 			o.validateCommand(), o.diffCommand(), o.publishCommand(), o.statusCommand(), o.historyCommand(), o.watchCommand(), o.drainCommand(),
-			explainCommand(o.Out), o.keygenCommand(),
+			o.explainCommand(), o.keygenCommand(),
 		},
 	}
 	for _, command := range append(root.Commands, root) {
