--- a/fairshare/fairshare.go
+++ b/fairshare/fairshare.go
@@ -134,6 +134,17 @@
 // SetWeights replaces the weights of the workspaces.
 func (s *Shares) SetWeights(weights map[string]float64) { s.weights = weights }
 
+// Clone returns a copy that can be changed independently.
+func (s *Shares) Clone() *Shares {
+	copied := *s
+	copied.states = make(map[key]*state, len(s.states))
+	for id, known := range s.states {
+		known := *known
+		copied.states[id] = &known
+	}
+	return &copied
+}
+
 func (s *Shares) weight(workspace string) float64 {
 	if weight := s.weights[workspace]; weight > 0 && !math.IsInf(weight, 1) {
 		return weight
