--- a/explanation/explanation.go
+++ b/explanation/explanation.go
@@ -16,6 +16,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/fuchsiarouter/fuchsiarouter/statusline"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -216,7 +217,13 @@
 		return nil, err
 	}
 	client := &fasthttp.Client{
-		Dial:                func(address string) (net.Conn, error) { return tcp.Dial(address, timeout) },
+		Dial: func(address string) (net.Conn, error) {
+			conn, err := tcp.Dial(address, timeout)
+			if err != nil {
+				return nil, err
+			}
+			return statusline.NewConn(conn), nil
+		},
 		MaxResponseBodySize: maxAnswerBytes, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 	}
 	defer client.CloseIdleConnections()
