caller: notice a caller that leaves behind unread bytes

Cause: the watch peeks at the connection, and what the caller has sent hides the end of the stream. Change: the watch also asks for the state of the socket when there are bytes.

--- a/caller/caller.go
+++ b/caller/caller.go
@@ -7,8 +7,8 @@
 // after a delay, so that a request that is answered quickly costs one timer and no system
 // call.
 //
-// If the caller has sent more data and then closes the connection, the unread data hides the
-// close from the watch. Such a caller is detected at the first write of the response.
+// If the caller has sent more data, the close shows only in the state of the socket, which is then read
+// as well.
 package caller
 
 import (
@@ -16,6 +16,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // past is a time that, set as the read deadline, aborts a blocked read immediately.
@@ -135,7 +137,7 @@
 		n, _, err := syscall.Recvfrom(int(descriptor), peeked, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		switch err {
 		case nil:
-			closed = n == 0
+			closed = n == 0 || isHungUp(descriptor)
 		case syscall.EAGAIN, syscall.EINTR:
 		default:
 			closed = true
@@ -145,3 +147,11 @@
 	})
 	return closed
 }
+
+// isHungUp reports whether the peer has closed a connection, also if there are bytes to read.
+func isHungUp(descriptor uintptr) bool {
+	const hungUp = unix.POLLRDHUP | unix.POLLHUP | unix.POLLERR
+	state := []unix.PollFd{{Fd: int32(descriptor), Events: unix.POLLRDHUP}}
+	_, err := unix.Poll(state, 0)
+	return err == nil && state[0].Revents&hungUp != 0
+}
--- a/caller/caller_test.go
+++ b/caller/caller_test.go
@@ -53,3 +53,18 @@
 	late.Close()
 	g.Expect(late.IsClosed()).To(gomega.BeFalse())
 }
+
+// TestWatchReportsCloseBehindData guards against a caller that leaves unnoticed since it has sent more
+// than its request.
+func TestWatchReportsCloseBehindData(t *testing.T) {
+	g := gomega.NewWithT(t)
+	near, far := connectedPair(g)
+	defer near.Close()
+	watch := caller.New(near, 0)
+	defer watch.Close()
+	_, err := far.Write([]byte("ahead\n"))
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Consistently(watch.Closed(), "30ms").ShouldNot(gomega.BeClosed())
+	g.Expect(far.Close()).To(gomega.Succeed())
+	g.Eventually(watch.Closed(), "2s").Should(gomega.BeClosed())
+}
