ingress: bound the connections to the other addresses

Callers of the directory, the platform's readiness checks and other daemons can open connections without a bound: 900 that stop short took 918 descriptors of 712, and trailers or extensions without an end up to 150 MiB of 136.

Cause: these servers had no bound, and each connection stayed for 20 s.

Change: each address has a part of the sockets and of the memory, by package intake, small receive buffers, and 10 s for each unread part of a response.

Why it works: a flood of one address can only take its own part, and there the stalled connections give way to ordinary ones.

Measured: TestControlAddressesOfIngress, 3 addresses with 14 loads each. On, 37 of 42 fail: 918 descriptors (bound 512) in most, 140 to 150 MiB with trailers. Now all pass: at most 81 descriptors and 50 MiB, ordinary requests answered beside each load.

--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -13,13 +13,23 @@
 )
 
 const (
-	// callerSocketShare is the part of the sockets that the connections of callers may take. The
-	// others are for the connections to servers, daemons and the registry.
-	callerSocketShare = 0.5
-	// callerMemoryShare is the part of the memory that the connections of callers may take.
-	callerMemoryShare = 0.35
-	// callerReceiveBytes is the size of the receive buffer of a connection. With it, a body of 4 MiB takes 0.8 s at 6 ms between a request and its response.
-	callerReceiveBytes = 32 << 10
+	// Parts of the sockets that the connections to each address may take. The others are for the
+	// connections to servers, daemons and the registry.
+	callerSocketShare    = 0.5
+	directorySocketShare = 0.1
+	readinessSocketShare = 0.03
+	peerSocketShare      = 0.12
+	// callerMemoryShare is the part of the memory that the connections of callers may take, and
+	// controlMemoryShare that of the connections to each other address.
+	callerMemoryShare  = 0.35
+	controlMemoryShare = 0.05
+	// callerReceiveBytes and controlReceiveBytes are the sizes of the receive buffers of connections.
+	// With that of callers, a body of 4 MiB takes 0.8 s at 6 ms between a request and its response.
+	callerReceiveBytes  = 32 << 10
+	controlReceiveBytes = 8 << 10
+	// controlConnectionBytes is what a connection to another address than that of callers holds: two
+	// buffers of 4 KiB, a body, the stack of its goroutine and the receive buffer.
+	controlConnectionBytes = 20<<10 + controlReceiveBytes
 	// keptConnectionShare is the part of the connections of callers above which they are closed after
 	// a response, before idle ones are closed for new ones.
 	keptConnectionShare = 0.8
@@ -59,9 +69,16 @@
 	}
 }
 
-// controlEndpoint returns the endpoint at an address other than that of callers.
-func (i *Ingress) controlEndpoint(address string, handler fasthttp.RequestHandler) endpoint {
-	return endpoint{address: address, server: newControlServer(handler, i.requestLog)}
+// controlEndpoint returns the endpoint at an address other than that of callers, which may take a part
+// of the sockets.
+func (i *Ingress) controlEndpoint(address string, handler fasthttp.RequestHandler, socketShare float64) endpoint {
+	return endpoint{
+		address: address, server: newControlServer(handler, i.requestLog),
+		settings: intake.Settings{
+			Connections:  i.settings.limits().Connections(socketShare, controlMemoryShare, controlConnectionBytes),
+			ReceiveBytes: controlReceiveBytes, WriteTimeout: intake.ResponseTimeout,
+		},
+	}
 }
 
 // endpoint is an address with the HTTP server that listens on it.
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -328,9 +328,9 @@
 	}
 	i.serveAt(callers, i.callerListener)
 	for _, control := range []endpoint{
-		i.controlEndpoint(i.settings.ReadinessAddress, handlers.Readiness(i.isReady)),
-		i.controlEndpoint(i.settings.DirectoryAddress, handlers.Directory(i.callerAddresses)),
-		i.controlEndpoint(i.settings.PeerAddress, i.peerHandler(relay.Handler(i.mirror), metrics)),
+		i.controlEndpoint(i.settings.ReadinessAddress, handlers.Readiness(i.isReady), readinessSocketShare),
+		i.controlEndpoint(i.settings.DirectoryAddress, handlers.Directory(i.callerAddresses), directorySocketShare),
+		i.controlEndpoint(i.settings.PeerAddress, i.peerHandler(relay.Handler(i.mirror), metrics), peerSocketShare),
 	} {
 		if control.address == "" {
 			continue
--- a/standin/hostiletest/platform_test.go
+++ b/standin/hostiletest/platform_test.go
@@ -23,8 +23,10 @@
 	memoryMB            = 136
 	maxDescriptors      = 712
 	reservedDescriptors = 200
-	// callerBodyBytes is limits.maxBodyBytes of the configuration.
-	callerBodyBytes = 4 << 20
+	// callerBodyBytes is limits.maxBodyBytes of the configuration, controlBodyBytes the size up to
+	// which other addresses than that of callers take bodies.
+	callerBodyBytes  = 4 << 20
+	controlBodyBytes = 4 << 10
 	// largeResponseBytes is the size of a large response.
 	largeResponseBytes = 3 << 20
 )
@@ -153,3 +155,27 @@
 		return daemon
 	})
 }
+
+// TestControlAddressesOfIngress guards against an ingress that exceeds its limits, or answers no
+// ordinary request, because of what is sent to its addresses other than that of callers.
+func TestControlAddressesOfIngress(t *testing.T) {
+	for _, control := range []struct {
+		name, path string
+		address    func(at ingressAddresses) string
+	}{
+		{"directory", "/fuchsiarouter/resolve", func(at ingressAddresses) string { return at.directory }},
+		{"readiness", "/fuchsiarouter/readiness", func(at ingressAddresses) string { return at.readiness }},
+		{"peers", "/metrics", func(at ingressAddresses) string { return at.peers }},
+	} {
+		t.Run(control.name, func(t *testing.T) {
+			runLoads(t, allLoads, func(t *testing.T) *target {
+				daemon, _, at := startIngress(t)
+				daemon.address = control.address(at)
+				daemon.request = request{head: "POST " + control.path + " HTTP/1.1\r\nHost: h.example\r\n", bodyLimit: controlBodyBytes}
+				answersCallers, url := daemon.answers, "http://"+daemon.address+control.path
+				daemon.answers = func() bool { return answersCallers() && succeeds(http.MethodGet, url, "") }
+				return daemon
+			})
+		})
+	}
+}
