ingress: apply the timeouts of the configuration to callers

A caller that kept a part of a head, or an idle connection, held its place for 20 s and 10 minutes whatever the configuration said.

Cause: limits.headerTimeoutMs and limits.idleTimeoutMs were decoded and read by nobody.

Change: the listener for callers takes both from the current configuration. Without the settings the times are as before.

--- a/catalog/configuration.go
+++ b/catalog/configuration.go
@@ -170,8 +170,7 @@
 	HeaderBytes int
 	BodyBytes   int
 	// HeaderTimeout is the limit for the time in which a header arrives, IdleTimeout that
-	// for an unused connection. No daemon reads them; the ingress daemon has limits of its
-	// own.
+	// between a response and the next request. With 0, the ingress daemon has limits of its own.
 	HeaderTimeout time.Duration
 	IdleTimeout   time.Duration
 }
--- a/ingress/connections.go
+++ b/ingress/connections.go
@@ -54,9 +54,18 @@
 	return settings.limits().Connections(callerSocketShare, callerMemoryShare, intake.ConnectionBytes+callerReceiveBytes)
 }
 
-// callerTimeouts returns the timeouts of callers.
-func callerTimeouts() intake.Timeouts {
-	return intake.Timeouts{Unused: unusedTimeout, Head: defaultHeadTimeout, Idle: defaultIdleTimeout}
+// callerTimeouts returns the timeouts of callers by the current configuration.
+func (i *Ingress) callerTimeouts() intake.Timeouts {
+	timeouts := intake.Timeouts{Unused: unusedTimeout, Head: defaultHeadTimeout, Idle: defaultIdleTimeout}
+	if configuration := i.mirror.View().Configuration; configuration != nil {
+		if configuration.Limits.HeaderTimeout > 0 {
+			timeouts.Head = configuration.Limits.HeaderTimeout
+		}
+		if configuration.Limits.IdleTimeout > 0 {
+			timeouts.Idle = configuration.Limits.IdleTimeout
+		}
+	}
+	return timeouts
 }
 
 // callerEndpoint returns the endpoint for callers.
@@ -64,7 +73,7 @@
 	return endpoint{
 		address: i.settings.CallerAddress, server: i.callerServer,
 		settings: intake.Settings{
-			Connections: callerConnectionLimit(i.settings), ReceiveBytes: callerReceiveBytes, Timeouts: callerTimeouts,
+			Connections: callerConnectionLimit(i.settings), ReceiveBytes: callerReceiveBytes, Timeouts: i.callerTimeouts,
 		},
 	}
 }
