exchange: bound the receive buffer of connections to servers

An ingress whose callers do not read large responses came close to its memory: 135 MiB of 136 on, and 142 MiB with more of its callers served.

Cause: a response that waits for memory is not read, and the kernel lets the receive buffer of its connection grow to megabytes. Such bytes count.

Change: connections to servers have a receive buffer of 64 KiB.

Why it works: what waits stays at the server.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -28,6 +28,9 @@
 	// defaultIdleTimeout is how long an idle connection may be reused if the server states
 	// no timeout in a Keep-Alive header.
 	defaultIdleTimeout = 4 * time.Second
+	// receiveBytes is the size of the receive buffer of a connection. A response that waits for memory
+	// stays there and at its server. With it, 10 MB/s arrive at 6 ms between a request and its response.
+	receiveBytes = 64 << 10
 	// idleTimeoutMargin is subtracted from the timeout in a Keep-Alive header, to allow
 	// for clock differences and network delay.
 	idleTimeoutMargin = 700 * time.Millisecond
@@ -181,6 +184,9 @@
 		c.mu.Unlock()
 		return nil, err
 	}
+	if socket, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
+		_ = socket.SetReadBuffer(receiveBytes)
+	}
 	return &pooledConn{Conn: raw, target: target, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
 }
 
--- a/standin/hostiletest/platform_test.go
+++ b/standin/hostiletest/platform_test.go
@@ -156,6 +156,14 @@
 	})
 }
 
+// TestUnreadResponsesOfIngress guards against an ingress that exceeds its memory by large responses
+// that callers do not read.
+func TestUnreadResponsesOfIngress(t *testing.T) {
+	daemon, _, _ := startIngress(t)
+	daemon.request.head = "GET /report/large HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k1\r\nX-Attempt-Id: 1\r\n"
+	daemon.run(unreadResponses.send)
+}
+
 // TestControlAddressesOfIngress guards against an ingress that exceeds its limits, or answers no
 // ordinary request, because of what is sent to its addresses other than that of callers.
 func TestControlAddressesOfIngress(t *testing.T) {
