loader: bound the connections and what they hold

900 connections to a loader that stop short took 915 descriptors of 712, and trailers without an end 150 MiB of 136. A response that was not read stayed for good.

Cause: the piece server had no bound for connections and no time for writing, and nothing bounded trailers and receive buffers.

Change: the piece server uses package intake with a part of the sockets and of the memory that the settings grant.

--- a/cmd/fuchsiarouterd/platform.go
+++ b/cmd/fuchsiarouterd/platform.go
@@ -28,7 +28,7 @@
 )
 
 // memoryLimitPercent is the memory limit of the Go runtime as a percentage of the memory
-// that the platform grants the process. The rest is for memory that the limit does not
+// that the platform or the settings grant the process. The rest is for memory that the limit does not
 // count, such as stacks and buffers in the kernel.
 const memoryLimitPercent = 60
 
@@ -79,6 +79,7 @@
 			Name: node.Name, IP: node.IP, AvailabilityZone: node.AvailabilityZone, Region: node.Region,
 			EngineAddress: node.EngineAddress, Service: node.Service, VersionDeadline: node.VersionDeadline, StopGrace: node.StopGrace, LinkBandwidth: node.LinkBytesPerSecond,
 			PieceAddress: node.PeerAddress(node.IP, loaderPortIndex), PeerPort: node.FirstPort + loaderPortIndex,
+			MemoryBytes: node.MemoryMB << 20, MaxDescriptors: node.MaxDescriptors,
 		}, platform.NewRegistry(node.RegistryAddress), platform.NewEngine(node.EngineAddress), platform.NewPieceOrigin(), log, metrics)
 	})
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -31,6 +31,7 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
+	"github.com/fuchsiarouter/fuchsiarouter/intake"
 	"github.com/fuchsiarouter/fuchsiarouter/mirror"
 	"github.com/fuchsiarouter/fuchsiarouter/relay"
 	"github.com/fuchsiarouter/fuchsiarouter/roster"
@@ -84,6 +85,11 @@
 	// which is the same on all machines.
 	PieceAddress string
 	PeerPort     int
+	// MemoryBytes is the memory of the process, which is killed when it exceeds it, and
+	// MaxDescriptors the number of descriptors that it may open. With 0, the memory is not limited
+	// and the descriptors are those that the operating system allows.
+	MemoryBytes    int
+	MaxDescriptors int
 }
 
 // Loader brings one engine to the declared versions and serves pieces to other loaders.
@@ -178,6 +184,11 @@
 		Handler: l.handler(metrics), IdleTimeout: 10 * time.Second, ReadTimeout: 10 * time.Second, MaxRequestBodySize: maxRequestBodyBytes,
 		NoDefaultServerHeader: true, NoDefaultDate: true,
 	}
+	limits := intake.Limits{MemoryBytes: settings.MemoryBytes, Descriptors: settings.MaxDescriptors}
+	connections := intake.New(listener, intake.Settings{
+		Connections:  limits.Connections(connectionSocketShare, connectionMemoryShare, connectionBytes),
+		ReceiveBytes: receiveBytes, WriteTimeout: pieceWriteTimeout,
+	}, log, metrics.Scope)
 	// wasComplete is set if the last view had the configuration and the servers. The topics are
 	// read one after the other, so they may follow the declarations.
 	wasComplete := false
@@ -193,7 +204,7 @@
 			wasComplete = isComplete
 		})
 	l.done.Go(func() {
-		if err := l.server.Serve(listener); err != nil {
+		if err := connections.Serve(l.server); err != nil {
 			log.Error("piece server ended", telemetry.Cause(err))
 		}
 	})
@@ -203,6 +214,19 @@
 	return l, nil
 }
 
+const (
+	// connectionSocketShare and connectionMemoryShare are the parts of the sockets and of the memory
+	// that the connections of other loaders may take.
+	connectionSocketShare = 0.5
+	connectionMemoryShare = 0.1
+	// receiveBytes is the size of the receive buffer of a connection, and connectionBytes what the
+	// connection holds: two buffers of 4 KiB, a body, the stack of its goroutine and the receive buffer.
+	receiveBytes    = 8 << 10
+	connectionBytes = 20<<10 + receiveBytes
+	// pieceWriteTimeout is how long a part of a piece may stay unread.
+	pieceWriteTimeout = 10 * time.Second
+)
+
 // maxRequestBodyBytes bounds the bodies of requests of other loaders, which have none.
 const maxRequestBodyBytes = 4 << 10
 
