entry: bound the memory and the connections of callers

A standalone entry grew with the number of its callers: 700 connections with bodies of up to 1 MiB that stop short took 723 to 832 MiB, and one that ran out of descriptors answered nobody.

Cause: bodies were read whole by the HTTP server before any check, without a time for the head or the body, and there was no setting for the memory.

Change: the new setting memory-bytes, 512 MiB by default, bounds the connections and the bodies by package intake, as in ingress. Bodies are read under the budget, a large response counts until it is written, and the Go runtime knows the limit. Bodies that are still arriving when the entry closes are refused with 2006; before, the entry waited for them without an end.

--- a/cmd/fuchsiarouterd/main.go
+++ b/cmd/fuchsiarouterd/main.go
@@ -13,6 +13,7 @@
 	"fmt"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
 	"time"
 
@@ -79,7 +80,7 @@
 	if err != nil {
 		return err
 	}
-	return runDaemon(ctx, "entry", config.Common, func(log *zap.Logger, tracer *trace.Tracer, metrics telemetry.Metrics, credentials *peer.TLSCredentials) (daemon, error) {
+	return runDaemon(ctx, "entry", config.Common, 0, func(log *zap.Logger, tracer *trace.Tracer, metrics telemetry.Metrics, credentials *peer.TLSCredentials) (daemon, error) {
 		return entry.New(config, log, tracer, metrics,
 			platform.NewLog(config.PlatformAddress, platformTimeout), platform.NewVMList(config.PlatformAddress, platformTimeout), credentials)
 	})
@@ -90,15 +91,16 @@
 	if err != nil {
 		return err
 	}
-	return runDaemon(ctx, "agent", config.Common, func(log *zap.Logger, tracer *trace.Tracer, metrics telemetry.Metrics, credentials *peer.TLSCredentials) (daemon, error) {
+	return runDaemon(ctx, "agent", config.Common, config.CacheBytes, func(log *zap.Logger, tracer *trace.Tracer, metrics telemetry.Metrics, credentials *peer.TLSCredentials) (daemon, error) {
 		return agent.New(config, log, tracer, metrics, platform.NewOrigin(config.PlatformAddress, platformTimeout), credentials)
 	})
 }
 
 // runDaemon starts a daemon and drains it on SIGTERM or SIGINT, or when its VM is
 // marked as leaving. A signal during the drain ends the process at once. kind is the
-// daemon's kind in logs, traces and metrics.
-func runDaemon(ctx context.Context, kind string, common settings.Common, start func(*zap.Logger, *trace.Tracer, telemetry.Metrics, *peer.TLSCredentials) (daemon, error)) error {
+// daemon's kind in logs, traces and metrics. cacheBytes is the memory for chunks of weights, which is
+// not part of the memory in the settings.
+func runDaemon(ctx context.Context, kind string, common settings.Common, cacheBytes int64, start func(*zap.Logger, *trace.Tracer, telemetry.Metrics, *peer.TLSCredentials) (daemon, error)) error {
 	log, err := telemetry.NewLogger(kind, common.ID, common.LogLevel)
 	if err != nil {
 		return err
@@ -112,6 +114,9 @@
 	if err != nil {
 		return err
 	}
+	if common.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(common.MemoryBytes)/100*memoryLimitPercent + cacheBytes)
+	}
 	metrics := telemetry.NewMetrics(kind)
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- a/entry/classify.go
+++ b/entry/classify.go
@@ -11,6 +11,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/budget"
 	"github.com/fuchsiarouter/fuchsiarouter/caller"
 	"github.com/fuchsiarouter/fuchsiarouter/dispatch"
 	"github.com/fuchsiarouter/fuchsiarouter/document"
@@ -61,6 +62,8 @@
 	span trace.Span
 	// caller reports when the connection of the caller is closed.
 	caller *caller.Watch
+	// bodyHold is the memory of the body, nil if the body is short.
+	bodyHold *budget.Hold
 }
 
 // group returns the routing group of the backend servers that can run the request.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -38,6 +38,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter/demand"
 	"github.com/fuchsiarouter/fuchsiarouter/document"
 	"github.com/fuchsiarouter/fuchsiarouter/fleet"
+	"github.com/fuchsiarouter/fuchsiarouter/intake"
 	"github.com/fuchsiarouter/fuchsiarouter/ledger"
 	"github.com/fuchsiarouter/fuchsiarouter/peer"
 	"github.com/fuchsiarouter/fuchsiarouter/quota"
@@ -52,8 +53,6 @@
 )
 
 const (
-	// serverIdleTimeout is the time after which an unused connection of a caller is closed.
-	serverIdleTimeout = time.Minute
 	// viewRefreshInterval is the interval at which the router is updated from the view.
 	viewRefreshInterval = 100 * time.Millisecond
 	// vmListInterval is the interval between two reads of the platform's VM list, and the
@@ -89,7 +88,10 @@
 	// other daemons.
 	listener net.Listener
 	server   *fasthttp.Server
-	control  *peer.Server
+	// connections accepts the connections of callers, and bodies bounds the memory of their requests.
+	connections *intake.Listener
+	bodies      *intake.Bodies
+	control     *peer.Server
 	// client sends requests to agents, and peers sends control messages to other entries.
 	client     *upstream.Client
 	peers      *peer.Client
@@ -113,8 +115,11 @@
 	leaveOnce      sync.Once
 	probesMu       sync.Mutex
 	probes         routing.Probes
-	stop           context.CancelFunc
-	goroutines     sync.WaitGroup
+	// lifetime is the context of the bodies that are being read and of the periodic tasks, which stop
+	// ends.
+	lifetime   context.Context
+	stop       context.CancelFunc
+	goroutines sync.WaitGroup
 }
 
 // New starts an entry. If credentials is nil, the messages between daemons are not
@@ -135,6 +140,10 @@
 	}
 	e.members = newMembers(settings.ID, e.incarnation)
 	e.limits = &workspaceLimits{limiter: quota.New()}
+	e.connections = intake.New(tcp.WaitForResources(listener, log), intake.DefaultSettings(intake.Limits{MemoryBytes: settings.MemoryBytes}), log, metrics.Scope)
+	e.bodies = intake.NewBodies(intake.BodySettings{
+		MemoryBytes: settings.MemoryBytes, Connections: e.connections.Open, Linger: linger,
+	}, log, metrics.Scope)
 	e.initComponents(platformLog)
 	if e.control, err = peer.ListenTLS(cmp.Or(settings.ControlListenAddress, settings.ControlAddress), e.gossip, credentials); err != nil {
 		_ = listener.Close()
@@ -171,26 +180,17 @@
 		OnError:       func(err error) { e.log.Warn("claims", zap.Error(err)) },
 	})
 	e.issuer = ledger.NewIssuer(claim.Holder{ID: e.settings.ID, Incarnation: e.incarnation}, claim.Settings{})
-	e.server = &fasthttp.Server{
-		Handler:            e.handle,
-		IdleTimeout:        serverIdleTimeout,
-		MaxRequestBodySize: e.settings.MaxBodyBytes,
-		// A multipart form that is parsed is not forwarded byte for byte: fasthttp writes it anew.
-		DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader:        true,
-		CloseOnShutdown:              true,
-		ErrorHandler:                 refuseMalformed,
-		Logger:                       discardLogger{},
-	}
+	e.server = intake.NewServer(e.handle, func() int { return e.settings.MaxBodyBytes }, intake.BodyTimeout)
+	e.server.MaxRequestBodySize, e.server.ErrorHandler, e.server.CloseOnShutdown = e.settings.MaxBodyBytes, refuseMalformed, true
 }
 
 // start starts the HTTP server and the periodic tasks of the entry in goroutines of their
 // own. Close ends them.
 func (e *Entry) start(list fuchsiarouter.VMList) {
 	ctx, cancel := context.WithCancel(context.Background())
-	e.stop = cancel
+	e.lifetime, e.stop = ctx, cancel
 	e.goroutines.Go(func() {
-		if err := e.server.Serve(lingeringListener{tcp.WaitForResources(e.listener, e.log)}); err != nil {
+		if err := e.connections.Serve(e.server); err != nil {
 			e.log.Error("HTTP server stopped", zap.Error(err))
 		}
 	})
@@ -376,10 +376,3 @@
 	e.client.CloseIdleConnections()
 	_ = e.peers.Close()
 }
-
-// discardLogger drops the messages of fasthttp, which logs each connection that a caller
-// closes.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -13,6 +13,7 @@
 	"go.uber.org/zap"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/budget"
 	"github.com/fuchsiarouter/fuchsiarouter/caller"
 	"github.com/fuchsiarouter/fuchsiarouter/dispatch"
 	"github.com/fuchsiarouter/fuchsiarouter/fleet"
@@ -36,12 +37,21 @@
 	disconnectWatchDelay = 50 * time.Millisecond
 )
 
-// handle selects the handler of a caller's request by its path.
+// handle reads the body of a caller's request and selects its handler by its path.
 func (e *Entry) handle(ctx *fasthttp.RequestCtx) {
+	hold, failure := e.bodies.Read(e.lifetime, ctx, e.settings.MaxBodyBytes)
+	if failure != nil {
+		failure.Write(&ctx.Response)
+		e.bodies.Refuse(ctx, failure)
+		return
+	}
 	path := string(ctx.Path())
+	if path == "/v1/chat/completions" && ctx.IsPost() || strings.HasPrefix(path, servicePrefix) {
+		e.serve(ctx, hold)
+		return
+	}
+	defer hold.Release()
 	switch {
-	case path == "/v1/chat/completions" && ctx.IsPost(), strings.HasPrefix(path, servicePrefix):
-		e.serve(ctx)
 	case path == "/v1/keys" && ctx.IsPost():
 		e.serveIssueKey(ctx)
 	case path == keyOffsetPath && ctx.IsGet():
@@ -61,8 +71,15 @@
 	}
 }
 
-// serve passes a request through the stages that the package doc lists.
-func (e *Entry) serve(ctx *fasthttp.RequestCtx) {
+// serve passes a request through the stages that the package doc lists. hold is the memory of its body,
+// which serve releases when the request ends.
+func (e *Entry) serve(ctx *fasthttp.RequestCtx, hold *budget.Hold) {
+	isAdmitted := false
+	defer func() {
+		if !isAdmitted {
+			hold.Release()
+		}
+	}()
 	now := time.Now()
 	config := e.config.Load()
 	switch {
@@ -90,6 +107,7 @@
 		failure.Write(&ctx.Response)
 		return
 	}
+	isAdmitted, request.bodyHold = true, hold
 	request.span, request.Traceparent = e.tracer.Start(spanContext, "entry", request.Traceparent)
 	request.caller = caller.New(ctx.Conn(), disconnectWatchDelay)
 	// A stream that has begun is not watched: its next write fails if the caller
@@ -175,7 +193,7 @@
 	if r.Version != "" {
 		ctx.Response.Header.Set(dispatch.HeaderVersion, r.Version)
 	}
-	ctx.SetBody(body)
+	e.bodies.SetResponse(ctx, body)
 }
 
 // finishRequest ends an admitted request: the request no longer counts as in progress, its
@@ -192,6 +210,7 @@
 		e.log.Info("request failed", zap.String("request-id", r.RequestID), zap.String("workspace", r.Workspace),
 			zap.String("result", code.String()), zap.Error(failure))
 	}
+	r.bodyHold.Release()
 	r.span.End(code.String())
 	e.scope.Tagged(map[string]string{"rank": string(r.Rank), "result": code.Name}).Counter("requests").Inc(1)
 	e.inProgress.Add(-1)
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -51,6 +51,10 @@
 	// MaxBodyBytes is the maximum size of the body of a request, DefaultMaxBodyBytes if the
 	// file doesn't set it.
 	MaxBodyBytes int `toml:"body-limit" validate:"omitempty,min=1024,max=67108864"`
+	// MemoryBytes is the memory of the process, for an agent without the cache for chunks. It bounds
+	// the connections and the bodies of requests, and is DefaultMemoryBytes if the file doesn't set
+	// it. 0 means that there is no limit.
+	MemoryBytes int `toml:"memory-bytes" validate:"omitempty,min=67108864"`
 }
 
 // Entry holds the settings of an entry.
@@ -101,6 +105,7 @@
 // Defaults of optional settings: sizes in bytes, the others in requests.
 const (
 	DefaultMaxBodyBytes = 1 << 20
+	DefaultMemoryBytes  = 512 << 20
 	DefaultCapacity     = 4096
 	DefaultSlots        = 8
 	DefaultCacheBytes   = 128 << 20
@@ -110,7 +115,7 @@
 // ReadEntry reads the settings of an entry from the file at the path.
 func ReadEntry(path string) (Entry, error) {
 	entry := Entry{
-		Common:   Common{LogLevel: "info", MaxBodyBytes: DefaultMaxBodyBytes},
+		Common:   Common{LogLevel: "info", MaxBodyBytes: DefaultMaxBodyBytes, MemoryBytes: DefaultMemoryBytes},
 		Capacity: DefaultCapacity,
 	}
 	err := readFile(path, &entry)
@@ -120,7 +125,7 @@
 // ReadAgent reads the settings of an agent from the file at the path.
 func ReadAgent(path string) (Agent, error) {
 	agent := Agent{
-		Common:     Common{LogLevel: "info", MaxBodyBytes: DefaultMaxBodyBytes},
+		Common:     Common{LogLevel: "info", MaxBodyBytes: DefaultMaxBodyBytes, MemoryBytes: DefaultMemoryBytes},
 		Slots:      DefaultSlots,
 		CacheBytes: DefaultCacheBytes,
 		QueueLimit: DefaultQueueLimit,
--- a/standin/bench/bench.go
+++ b/standin/bench/bench.go
@@ -236,6 +236,7 @@
 		BootstrapKey:     b.Publisher.PublicKeyHex(),
 		LogLevel:         "info",
 		MaxBodyBytes:     settings.DefaultMaxBodyBytes,
+		MemoryBytes:      settings.DefaultMemoryBytes,
 	}
 }
 
