agent: bound the memory and the connections of callers

An agent had the faults of the entry: whoever reaches its address could fill its memory with bodies, or take its descriptors, and the calls of entries failed.

Cause: the same server settings as the entry had.

Change: package intake with the setting memory-bytes, to which the cache for chunks is added.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -32,6 +32,7 @@
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/dispatch"
 	"github.com/fuchsiarouter/fuchsiarouter/engine"
+	"github.com/fuchsiarouter/fuchsiarouter/intake"
 	"github.com/fuchsiarouter/fuchsiarouter/peer"
 	"github.com/fuchsiarouter/fuchsiarouter/placement"
 	"github.com/fuchsiarouter/fuchsiarouter/quarantine"
@@ -48,10 +49,6 @@
 )
 
 const (
-	// serverIdleTimeout is longer than the idle timeout of clients (see package
-	// upstream), so that no request arrives on a connection that the agent is
-	// about to close.
-	serverIdleTimeout = time.Minute
 	// defaultDrainDeadline is how long Drain waits for requests in progress if the
 	// configuration is not known or sets no deadline.
 	defaultDrainDeadline = 30 * time.Second
@@ -66,6 +63,9 @@
 	maxReportedStrikes = 64
 )
 
+// linger bounds the reading of the rest of a refused request after the response was sent.
+var linger = intake.Linger{Time: 500 * time.Millisecond, Bytes: 256 << 10}
+
 // Agent is the daemon of a backend server VM.
 type Agent struct {
 	settings settings.Agent
@@ -75,6 +75,10 @@
 	incarnation int64
 	listener    net.Listener
 	server      *fasthttp.Server
+	// connections accepts the connections of entries and other agents, and bodies bounds the memory
+	// of their requests.
+	connections *intake.Listener
+	bodies      *intake.Bodies
 	callHandler *callHandler
 	versions    *versionManager
 	// engineMonitor is nil when the backend server runs a service without a model.
@@ -87,6 +91,9 @@
 	client  *upstream.Client
 	control *peer.Client
 
+	// lifetime is the context of the bodies that are being read and of the periodic tasks, which cancel
+	// ends.
+	lifetime   context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	// leaveRequested is closed when an entry says that the VM is leaving.
@@ -112,6 +119,11 @@
 		control:        peer.NewClientTLS(credentials, net.ParseIP(settings.SourceIP)),
 		leaveRequested: make(chan struct{}),
 	}
+	limits := intake.Limits{MemoryBytes: settings.MemoryBytes}
+	a.connections = intake.New(tcp.WaitForResources(listener, log), intake.DefaultSettings(limits), log, metrics.Scope)
+	a.bodies = intake.NewBodies(intake.BodySettings{
+		MemoryBytes: settings.MemoryBytes, Connections: a.connections.Open, Linger: linger,
+	}, log, metrics.Scope)
 	a.reporter = &reporter{
 		log: log, client: a.control, configuredEntries: settings.EntryAddresses, region: settings.Region, id: settings.ID,
 		member: a.member, onRound: func() { a.applyConfiguration(); a.control.Traffic().Report(metrics.Scope) }, onLeave: a.requestLeave, trigger: make(chan struct{}, 1),
@@ -164,25 +176,17 @@
 		a.callHandler.detectCrash = a.engineMonitor.detectCrash
 		a.callHandler.isUp = a.engineMonitor.isUp
 	}
-	a.server = &fasthttp.Server{
-		Handler:            a.handler(),
-		IdleTimeout:        serverIdleTimeout,
-		MaxRequestBodySize: a.settings.MaxBodyBytes,
-		// A multipart form that is parsed is not forwarded byte for byte: fasthttp writes it anew.
-		DisablePreParseMultipartForm: true,
-		NoDefaultServerHeader:        true,
-		CloseOnShutdown:              true,
-		Logger:                       discardLogger{},
-	}
+	a.server = intake.NewServer(a.handler(), func() int { return a.settings.MaxBodyBytes }, intake.BodyTimeout)
+	a.server.MaxRequestBodySize, a.server.CloseOnShutdown = a.settings.MaxBodyBytes, true
 }
 
 // start starts the goroutines of the agent: the HTTP server, the heartbeats and, if
 // there is an engine, the checks of its status.
 func (a *Agent) start() {
 	ctx, cancel := context.WithCancel(context.Background())
-	a.cancel = cancel
+	a.lifetime, a.cancel = ctx, cancel
 	a.goroutines.Go(func() {
-		if err := a.server.Serve(tcp.WaitForResources(a.listener, a.log)); err != nil {
+		if err := a.connections.Serve(a.server); err != nil {
 			a.log.Error("HTTP server stopped", zap.Error(err))
 		}
 	})
@@ -388,6 +392,13 @@
 func (a *Agent) handler() fasthttp.RequestHandler {
 	metrics := fasthttpadaptor.NewFastHTTPHandler(a.metrics.Handler)
 	return func(ctx *fasthttp.RequestCtx) {
+		hold, failure := a.bodies.Read(a.lifetime, ctx, a.settings.MaxBodyBytes)
+		if failure != nil {
+			failure.Write(&ctx.Response)
+			a.bodies.Refuse(ctx, failure)
+			return
+		}
+		defer hold.Release()
 		path := string(ctx.Path())
 		switch {
 		case path == "/v1/chat/completions", strings.HasPrefix(path, "/v1/services/"):
@@ -412,10 +423,3 @@
 		}
 	}
 }
-
-// discardLogger discards fasthttp's messages about connections that callers
-// closed.
-type discardLogger struct{}
-
-// Printf implements fasthttp.Logger.
-func (discardLogger) Printf(string, ...any) {}
--- a/standin/hostiletest/product_test.go
+++ b/standin/hostiletest/product_test.go
@@ -87,3 +87,15 @@
 		}
 	})
 }
+
+// TestCallersOfAgent guards against an agent that exceeds its limits, or answers no ordinary request of
+// an entry, because of what others send.
+func TestCallersOfAgent(t *testing.T) {
+	runLoads(t, allLoads, func(t *testing.T) *target {
+		_, agent, answers := startProduct(t)
+		return &target{
+			t: t, pid: agent.PID(), address: agent.Address, answers: answers, memoryLimit: productMemory + cacheBytes,
+			descriptorLimit: productDescriptors, request: request{head: productHead, bodyLimit: settings.DefaultMaxBodyBytes},
+		}
+	})
+}
