soak: hostile callers beside all runs

The soak had no hostile callers, so nothing showed what they do beside kills, stops, faults of servers and changes.

Change: callers of the seed's choice send heads and bodies that do not arrive, are too large or never end, to all addresses of the entries and loaders. No process may end by itself or exceed its memory (200 MB) or descriptors (712), and no hostile request may run. Daemons get addresses that no other process uses: with ports that the kernel had given out, a loader of seed 32 did not start in one of two runs of three seeds beside each other. That another socket had taken its port is suspected, its log is gone.

--- a/standin/cmd/standin/soak.go
+++ b/standin/cmd/standin/soak.go
@@ -23,6 +23,7 @@
 			&cli.DurationFlag{Name: "length", Value: 10 * time.Second, Usage: "time for each seed within which faults begin"},
 			&cli.IntFlag{Name: "entries", Value: 3, Usage: "number of entry processes"},
 			&cli.IntFlag{Name: "callers", Value: 6, Usage: "number of callers"},
+			hostileFlag(),
 			&cli.BoolFlag{Name: "stops", Usage: "stop the entries one after the other, instead of injecting all kinds of faults"},
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the binaries"},
 		},
@@ -31,7 +32,7 @@
 			return runSeeds(c, func(dir string, seed uint64) (fmt.Stringer, bool, error) {
 				settings := soak.Settings{
 					Binary: filepath.Join(c.String("bin"), "fuchsiarouterd"), WorkDir: dir, Seed: seed,
-					Entries: c.Int("entries"), Callers: c.Int("callers"), FaultWindow: c.Duration("length"),
+					Entries: c.Int("entries"), Callers: c.Int("callers"), HostileCallers: c.Int("hostile"), FaultWindow: c.Duration("length"),
 				}
 				if c.Bool("stops") {
 					report, err := soak.RunStops(ctx, settings)
@@ -44,6 +45,10 @@
 	}
 }
 
+func hostileFlag() cli.Flag {
+	return &cli.IntFlag{Name: "hostile", Value: 24, Usage: "number of callers that send requests which do not end or are too large"}
+}
+
 func soakLoadersCommand() *cli.Command {
 	return &cli.Command{
 		Name:  "loaders",
@@ -53,13 +58,14 @@
 			&cli.IntFlag{Name: "runs", Value: 1, Usage: "number of consecutive seeds to run"},
 			&cli.DurationFlag{Name: "length", Value: 20 * time.Second, Usage: "time for each seed within which faults begin"},
 			&cli.IntFlag{Name: "loaders", Value: 3, Usage: "number of loader processes"},
+			hostileFlag(),
 			&cli.StringFlag{Name: "bin", Value: "bin", Usage: "directory of the binaries"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
 			return runSeeds(c, func(dir string, seed uint64) (fmt.Stringer, bool, error) {
 				report, err := soak.RunLoaders(ctx, soak.LoaderSettings{
 					Binary: filepath.Join(c.String("bin"), "fuchsiarouterd"), WorkDir: dir, Seed: seed,
-					Loaders: c.Int("loaders"), FaultWindow: c.Duration("length"),
+					Loaders: c.Int("loaders"), HostileCallers: c.Int("hostile"), FaultWindow: c.Duration("length"),
 				})
 				return report, len(report.Violations)+len(report.Behind) == 0, err
 			})
--- a/standin/soak/check.go
+++ b/standin/soak/check.go
@@ -26,6 +26,9 @@
 		}
 	}
 	var violations []string
+	for _, run := range runs[hostileID] {
+		violations = append(violations, fmt.Sprintf("a hostile request ran on %s with a body of %d bytes", run.serverID, len(run.Body)))
+	}
 	for _, request := range requests {
 		if violation := f.findViolation(request, runs[request.requestID]); violation != "" {
 			violations = append(violations, fmt.Sprintf("%s %s: %s (status %d)", request.requestID, request.path, violation, request.status))
--- a/standin/soak/entry.go
+++ b/standin/soak/entry.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"path/filepath"
 	"strconv"
@@ -11,8 +10,6 @@
 	"syscall"
 	"time"
 
-	"github.com/go-faster/errors"
-
 	"github.com/fuchsiarouter/fuchsiarouter/standin/link"
 )
 
@@ -20,10 +17,13 @@
 // connects to the store through a proxy that can inject connection faults.
 type entry struct {
 	process
-	// callerAddress and readinessAddress are the addresses at which the entry receives
-	// requests of callers and readiness checks.
+	// callerAddress, readinessAddress, directoryAddress and peerAddress are the addresses at which
+	// the entry receives requests of callers, readiness checks, and requests for the directory and of
+	// other daemons.
 	callerAddress    string
 	readinessAddress string
+	directoryAddress string
+	peerAddress      string
 	// storeLink is the proxy in front of the store.
 	storeLink *link.Link
 	// disturbances are the starts of the entry and the signals to it.
@@ -33,34 +33,22 @@
 // nodeFileFormat is the node file of an entry: the settings that the platform gives a daemon
 // for its VM. Its formatting verbs stand for the entry's name, its IP address, the addresses
 // for callers, readiness checks and the directory, which is the list of entries for callers,
-// the first and last port for traffic between entries, the grace period in seconds, and the
-// address of the store.
+// the first and last port for traffic between entries, the memory in MB and the descriptors, the
+// grace period in seconds, and the address of the store.
 const nodeFileFormat = `{"nodeName":%q,"ip":%q,"zone":"z","region":"r","zones":{"z":"r"},
  "listen":{"front":%q,"readiness":%q,"directory":%q},"internalPorts":[%d,%d],
- "limits":{"memoryMb":200,"linkMbps":100},
+ "limits":{"memoryMb":%d,"maxFds":%d,"linkMbps":100},
  "bounds":{"revokeMs":5000,"graceS":%v,"version_ms":8000,"budgetRatio":0.2,"budgetSlack":100,"budgetWindowS":10,"ttl_max_s":5},
  "platform":{"address":%q}}`
 
-// newEntry prepares an entry without starting it: it chooses free ports on an IP address
+// newEntry prepares an entry without starting it: it chooses ports on an IP address
 // that only this entry uses, starts the proxy to the store, and writes the node file.
 func (f *fleet) newEntry(index int) (*entry, error) {
-	ip := fmt.Sprintf("127.0.9.%d", index+1)
 	addresses := make([]string, 4)
+	port := 0
 	for i := range addresses {
-		listener, err := net.Listen("tcp", ip+":0")
-		if err != nil {
-			return nil, errors.Wrap(err, "address")
-		}
-		defer func() { _ = listener.Close() }()
-		addresses[i] = listener.Addr().String()
-	}
-	_, portText, err := net.SplitHostPort(addresses[3])
-	if err != nil {
-		return nil, errors.Wrap(err, "address")
-	}
-	port, err := strconv.Atoi(portText)
-	if err != nil {
-		return nil, errors.Wrap(err, "address")
+		port = nextPort()
+		addresses[i] = vmAddress(index, port)
 	}
 	storeLink, address, err := f.startProxy(f.store.Address())
 	if err != nil {
@@ -68,11 +56,12 @@
 	}
 	e := &entry{
 		process:       process{name: fmt.Sprintf("entry-%d", index), binary: f.settings.Binary, command: "ingress"},
-		callerAddress: addresses[0], readinessAddress: addresses[1], storeLink: storeLink,
+		callerAddress: addresses[0], readinessAddress: addresses[1], directoryAddress: addresses[2], peerAddress: addresses[3],
+		storeLink: storeLink,
 	}
 	e.logFile = filepath.Join(f.settings.WorkDir, e.name+".log")
 	e.nodeFile, err = f.writeFile(e.name+".json",
-		fmt.Appendf(nil, nodeFileFormat, e.name, ip, addresses[0], addresses[1], addresses[2], port, port, f.plan.stopGrace.Seconds(), address))
+		fmt.Appendf(nil, nodeFileFormat, e.name, vmIP(index), addresses[0], addresses[1], addresses[2], port, port, daemonMemoryMB, daemonDescriptors, f.plan.stopGrace.Seconds(), address))
 	return e, err
 }
 
--- a/standin/soak/fleet.go
+++ b/standin/soak/fleet.go
@@ -126,6 +126,16 @@
 	return f, nil
 }
 
+// startCrowd starts the hostile callers of a run.
+func (f *fleet) startCrowd(ctx context.Context) *crowd {
+	var targets []hostileTarget
+	var processes []*process
+	for _, e := range f.entries {
+		targets, processes = append(targets, e.hostileTargets()...), append(processes, &e.process)
+	}
+	return startCrowd(ctx, f.settings.Seed, f.settings.HostileCallers, targets, processes)
+}
+
 // close kills the entries and stops the proxies and the store.
 func (f *fleet) close() {
 	for _, e := range f.entries {
--- a/standin/soak/loader_fleet.go
+++ b/standin/soak/loader_fleet.go
@@ -6,7 +6,6 @@
 	"net"
 	"os"
 	"path/filepath"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -33,7 +32,7 @@
 // its IP address, the first and last port for traffic between daemons, the address of its engine,
 // and that of the store.
 const loaderNodeFileFormat = `{"nodeName":%q,"ip":%q,"zone":"z","region":"r","zones":{"z":"r"},"internalPorts":[%d,%d],
- "app":%q,"service":"llm","limits":{"memoryMb":150,"linkMbps":100},"bounds":{"version_ms":3000},"platform":{"address":%q}}`
+ "app":%q,"service":"llm","limits":{"memoryMb":150,"maxFds":712,"linkMbps":100},"bounds":{"version_ms":3000},"platform":{"address":%q}}`
 
 // loaderFleet holds the loaders under test with their engines, and stand-ins of the store and of the
 // weight origin.
@@ -54,6 +53,8 @@
 	process
 	engine *stagedengine.Engine
 	faults callFaults
+	// pieceAddress is the address of the loader for other loaders.
+	pieceAddress string
 }
 
 // newLoaderFleet starts the stand-ins and the loaders. The engines hold version 1.
@@ -70,10 +71,8 @@
 	store.Put(keyedstore.TopicOperator, "config", fmt.Sprintf(`{"version":1,"routes":[],"services":[`+
 		`{"name":"llm","engine":{"slots":4,"chunks":%d,"models":[{"name":"m"}]}},{"name":"o","origin":%q,"zone":"z"}]}`, versionPieces, origin.Address()))
 	f.declareNext()
-	port, err := commonPort(settings.Loaders)
-	if err != nil {
-		return nil, err
-	}
+	// A loader uses the second port of the range.
+	_, port := nextPort(), nextPort()
 	for index := range settings.Loaders {
 		m, err := newMachine(settings, index, port, store.Address())
 		if err != nil {
@@ -93,50 +92,24 @@
 	return f, nil
 }
 
-// machineIP returns the IP address of the machine with the index, which only this machine uses.
-func machineIP(index int) string { return fmt.Sprintf("127.0.10.%d", index+1) }
-
-// commonPort returns a port that is free on all machines.
-func commonPort(machines int) (int, error) {
-	const attempts = 20
-	for range attempts {
-		port := "0"
-		var listeners []net.Listener
-		for index := range machines {
-			listener, err := net.Listen("tcp", net.JoinHostPort(machineIP(index), port))
-			if err != nil {
-				break
-			}
-			listeners = append(listeners, listener)
-			_, port, _ = net.SplitHostPort(listener.Addr().String())
-		}
-		for _, listener := range listeners {
-			_ = listener.Close()
-		}
-		if len(listeners) == machines {
-			return strconv.Atoi(port)
-		}
-	}
-	return 0, errors.New("no port is free on all machines")
-}
-
 // newMachine starts the engine of a machine and writes the node file of its loader. peerPort is the
 // port of the loaders.
 func newMachine(settings LoaderSettings, index, peerPort int, storeAddress string) (*machine, error) {
 	m := &machine{process: process{name: fmt.Sprintf("loader-%d", index), binary: settings.Binary, command: "loader"}}
 	m.faults.reset(settings.Seed, index)
 	engine, err := stagedengine.New(stagedengine.Settings{
-		Address: net.JoinHostPort(machineIP(index), "0"), Model: "m", Pieces: versionPieces, Version: 1, LoadTime: engineLoadTime,
+		Address: net.JoinHostPort(vmIP(index), "0"), Model: "m", Pieces: versionPieces, Version: 1, LoadTime: engineLoadTime,
 		Fault: func(call stagedengine.Call) stagedengine.Fault { return m.faults.draw(m, call) },
 	})
 	if err != nil {
 		return nil, errors.Wrap(err, "engine")
 	}
 	m.engine = engine
+	m.pieceAddress = vmAddress(index, peerPort)
 	m.logFile = filepath.Join(settings.WorkDir, m.name+".log")
 	m.nodeFile = filepath.Join(settings.WorkDir, m.name+".json")
 	// A loader uses the second port of the range.
-	content := fmt.Appendf(nil, loaderNodeFileFormat, m.name, machineIP(index), peerPort-1, peerPort, engine.Address(), storeAddress)
+	content := fmt.Appendf(nil, loaderNodeFileFormat, m.name, vmIP(index), peerPort-1, peerPort, engine.Address(), storeAddress)
 	if err := os.WriteFile(m.nodeFile, content, 0o600); err != nil {
 		return nil, errors.Wrap(err, "settings file")
 	}
@@ -166,6 +139,17 @@
 	return descriptions
 }
 
+// startCrowd starts the hostile callers of a run.
+func (f *loaderFleet) startCrowd(ctx context.Context, settings LoaderSettings) *crowd {
+	var targets []hostileTarget
+	var processes []*process
+	for _, m := range f.machines {
+		targets = append(targets, hostileTarget{m.pieceAddress, "GET /piece?model=m&version=1&piece=0 HTTP/1.1\r\nHost: l\r\n"})
+		processes = append(processes, &m.process)
+	}
+	return startCrowd(ctx, settings.Seed, settings.HostileCallers, targets, processes)
+}
+
 // close kills the loaders and stops the stand-ins.
 func (f *loaderFleet) close() {
 	f.cancel()
--- a/standin/soak/loaders.go
+++ b/standin/soak/loaders.go
@@ -29,6 +29,8 @@
 	Seed uint64
 	// Loaders is the number of loader processes, each with an engine.
 	Loaders int
+	// HostileCallers is the number of callers that send requests which do not end or are too large.
+	HostileCallers int
 	// FaultWindow is the time within which faults begin and versions are declared.
 	FaultWindow time.Duration
 }
@@ -42,7 +44,7 @@
 	Versions int
 	Loads    int
 	// Violations describes each load with a piece that was missing, of another version or corrupt
-	// for too long. Behind describes each engine that did not get the newest version.
+	// for too long, and each loader that exceeded a limit or ended by itself. Behind describes each engine that did not get the newest version.
 	Violations []string
 	Behind     []string
 }
@@ -68,6 +70,7 @@
 	rng := rand.New(rand.NewPCG(settings.Seed, 0))
 	faults := drawLoaderFaults(rng, settings)
 	report := LoaderReport{Seed: settings.Seed, Faults: len(faults)}
+	hostile := f.startCrowd(ctx, settings)
 	began := time.Now()
 	var running sync.WaitGroup
 	for at := randomDuration(rng, 0, maxDeclareInterval); at < settings.FaultWindow; at += randomDuration(rng, minDeclareInterval, maxDeclareInterval) {
@@ -87,6 +90,7 @@
 	}
 	running.Wait()
 	report.Behind = f.awaitVersion(ctx, convergenceTimeout)
+	report.Violations = hostile.end()
 	// Calls of the last faults may still wait at the engines.
 	sleep(ctx, maxLateness)
 	for _, m := range f.machines {
--- a/standin/soak/process.go
+++ b/standin/soak/process.go
@@ -25,6 +25,10 @@
 	// exited is closed when the most recently started process has exited. It is nil before
 	// the first start.
 	exited chan struct{}
+	// stopRequested is set once the running process got a signal that ends it. ownEnds counts the
+	// processes that have ended without one.
+	stopRequested bool
+	ownEnds       int
 }
 
 // start starts the process unless it is already running.
@@ -47,10 +51,13 @@
 		return errors.Wrap(err, p.name)
 	}
 	exited := make(chan struct{})
-	p.running, p.exited = command, exited
+	p.running, p.exited, p.stopRequested = command, exited, false
 	go func() {
 		_ = command.Wait()
 		p.mu.Lock()
+		if !p.stopRequested {
+			p.ownEnds++
+		}
 		p.running = nil
 		p.mu.Unlock()
 		close(exited)
@@ -64,11 +71,29 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.running != nil {
+		p.stopRequested = p.stopRequested || signal == syscall.SIGKILL || signal == syscall.SIGTERM
 		_ = p.running.Process.Signal(signal)
 	}
 	return p.exited
 }
 
+// pid returns the ID of the running process, 0 if there is none.
+func (p *process) pid() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.running == nil {
+		return 0
+	}
+	return p.running.Process.Pid
+}
+
+// ownExits returns the number of processes that have ended without a signal.
+func (p *process) ownExits() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ownEnds
+}
+
 // kill sends SIGKILL to the process and waits until it has exited.
 func (p *process) kill() {
 	if exited := p.sendSignal(syscall.SIGKILL); exited != nil {
--- a/standin/soak/soak.go
+++ b/standin/soak/soak.go
@@ -13,7 +13,10 @@
 // Faults follow each other closely and overlap. Callers keep their connections open
 // between requests, until the entry process exits.
 //
-// Invariants: a non-repeatable request runs at most once, a refused request never runs, a
+// Hostile callers send requests that do not end or are too large, to all addresses of the entries.
+//
+// Invariants: no process ends by itself or exceeds its memory or descriptors, no hostile request runs,
+// a non-repeatable request runs at most once, a refused request never runs, a
 // response is complete and belongs to the request of its caller, and a revoked API key
 // runs no requests once revocationBound has passed, and a server that has told an entry that
 // it leaves, or has asked it for a pause, gets no more requests of it. Within recoveryTimeout after the last
@@ -63,6 +66,8 @@
 	// Entries is the number of entry processes, Callers the number of callers.
 	Entries int
 	Callers int
+	// HostileCallers is the number of callers that send requests which do not end or are too large.
+	HostileCallers int
 	// FaultWindow is the time from the start of the callers within which faults begin.
 	FaultWindow time.Duration
 }
@@ -108,6 +113,7 @@
 		callers[i] = newCaller(f, rand.New(rand.NewPCG(settings.Seed, uint64(i+1))), i)
 		sending.Go(func() { callers[i].sendUntilDone(callerCtx) })
 	}
+	hostile := f.startCrowd(ctx)
 	began := time.Now()
 	var injecting sync.WaitGroup
 	slices.SortFunc(faults, func(a, b fault) int { return cmp.Compare(a.startAfter, b.startAfter) })
@@ -124,6 +130,7 @@
 	}
 	stopCallers()
 	sending.Wait()
+	report.Violations = append(report.Violations, hostile.end()...)
 	sleep(ctx, settleTime)
 	var requests []callerRequest
 	for _, c := range callers {
--- a/standin/soak/soak_test.go
+++ b/standin/soak/soak_test.go
@@ -19,6 +19,9 @@
 // comment on the cause of the failure.
 var seeds = []uint64{1, 2}
 
+// hostileCallers is the number of hostile callers in each run.
+const hostileCallers = 12
+
 // TestSoak guards against invariants that are violated when several faults follow each
 // other closely or overlap.
 func TestSoak(t *testing.T) {
@@ -26,7 +29,7 @@
 	binary := buildDaemon(t)
 	for _, seed := range seeds {
 		report, err := soak.Run(context.Background(), soak.Settings{
-			Binary: binary, WorkDir: t.TempDir(), Seed: seed, Entries: 3, Callers: 6,
+			Binary: binary, WorkDir: t.TempDir(), Seed: seed, Entries: 3, Callers: 6, HostileCallers: hostileCallers,
 			FaultWindow: 8 * time.Second,
 		})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
@@ -72,7 +75,7 @@
 		workDir := t.TempDir()
 		running.Go(func() {
 			report, err := soak.RunLoaders(context.Background(), soak.LoaderSettings{
-				Binary: binary, WorkDir: workDir, Seed: seed, Loaders: 3, FaultWindow: 16 * time.Second,
+				Binary: binary, WorkDir: workDir, Seed: seed, Loaders: 3, HostileCallers: hostileCallers, FaultWindow: 16 * time.Second,
 			})
 			if err != nil {
 				t.Error(err)
@@ -98,7 +101,7 @@
 	binary := buildDaemon(t)
 	for _, seed := range stopSeeds {
 		report, err := soak.RunStops(context.Background(), soak.Settings{
-			Binary: binary, WorkDir: t.TempDir(), Seed: seed, Entries: 3, Callers: 24, FaultWindow: 5 * time.Second,
+			Binary: binary, WorkDir: t.TempDir(), Seed: seed, Entries: 3, Callers: 24, HostileCallers: hostileCallers, FaultWindow: 5 * time.Second,
 		})
 		g.Expect(err).NotTo(gomega.HaveOccurred())
 		t.Log(report)
--- a/standin/soak/stop.go
+++ b/standin/soak/stop.go
@@ -61,7 +61,8 @@
 	LatestAccepted time.Duration
 	// LongestStop is the longest time from a stop signal to the end of the process.
 	LongestStop time.Duration
-	// Lost describes each request that got no complete answer without an excuse.
+	// Lost describes each request that got no complete answer without an excuse, and each process that
+	// exceeded a limit or ended by itself.
 	Lost []string
 }
 
@@ -119,14 +120,17 @@
 		callers[i] = newStopCaller(f, rand.New(rand.NewPCG(settings.Seed, uint64(i+1))), i)
 		sending.Go(func() { callers[i].sendUntilDone(callerCtx) })
 	}
+	hostile := f.startCrowd(ctx)
 	run.inject(ctx, rand.New(rand.NewPCG(settings.Seed, 0)), settings)
 	stopCallers()
 	sending.Wait()
+	violations := hostile.end()
 	var requests []stopRequest
 	for _, c := range callers {
 		requests = append(requests, c.requests...)
 	}
 	report := run.report(requests)
+	report.Lost = append(report.Lost, violations...)
 	report.Seed = settings.Seed
 	return report, ctx.Err()
 }
