--- a/intake/listener.go
+++ b/intake/listener.go
@@ -202,7 +202,7 @@
 	for _, slot := range l.table.Expired(now, timeouts) {
 		switch {
 		case slot.phase == Head:
-			_ = slot.Conn.Conn.SetReadDeadline(past)
+			_ = slot.Conn.SetReadDeadline(past)
 		case slot.phase == Idle && tcp.HasPendingInput(slot.Conn.Conn):
 			// A request has just arrived, or the peer has closed the connection.
 			continue
@@ -244,7 +244,7 @@
 	}
 	if phase == Serving {
 		// The deadline would also end the watch for a peer that leaves.
-		_ = c.Conn.SetReadDeadline(time.Time{})
+		_ = c.SetReadDeadline(time.Time{})
 	}
 	return isOpen
 }
