peer: bound the connections and the memory of control messages

Whoever reaches an entry at its address for control messages could take all its descriptors with connections that send nothing, and fill its memory: 64 messages of the largest size that stop short took 1,446 MiB.

Cause: the bound of 4,096 connections is above what the operating system may allow, and a message of up to 16 MiB was read without asking for memory.

Change: the entry's listener for control messages is one of package intake, where the connection on which nothing has arrived for longest gives way. A message is read under the budget of the entry, so one that stalls is dropped for others.

--- a/budget/budget.go
+++ b/budget/budget.go
@@ -5,7 +5,7 @@
 // before it grows. While there is none, the bodies and responses without recent progress are
 // dropped, those with the least recent progress first, and the others wait. A part of the budget
 // is reserved for small holds, so that ordinary requests get through while large ones fill the
-// rest. The package does no input or output; its callers pass the time.
+// rest. The package does no input or output; its callers pass the time, except to Await.
 package budget
 
 import (
@@ -137,6 +137,25 @@
 	return Wait
 }
 
+// awaitStep is the time between two attempts of Await.
+const awaitStep = 20 * time.Millisecond
+
+// Await is Grow, but waits for room for up to a time. It reports whether the hold has the room.
+func (h *Hold) Await(bytes int, timeout time.Duration) bool {
+	for end := time.Now().Add(timeout); ; time.Sleep(awaitStep) {
+		now := time.Now()
+		switch h.Grow(now, bytes) {
+		case Granted:
+			return true
+		case Dropped:
+			return false
+		}
+		if !now.Before(end) {
+			return false
+		}
+	}
+}
+
 // Add grows a hold by bytes that are already there, whether there is room or not.
 func (h *Hold) Add(bytes int) {
 	b := h.budget
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -64,6 +64,11 @@
 	// defaultDrainDeadline bounds the drain if the configuration isn't known yet or sets no
 	// deadline.
 	defaultDrainDeadline = 30 * time.Second
+	// controlSocketShare and controlMemoryShare are the parts of the sockets and of the memory that the
+	// connections for control messages may take, and controlConnectionBytes is what one of them holds.
+	controlSocketShare     = 0.2
+	controlMemoryShare     = 0.1
+	controlConnectionBytes = 20 << 10
 	// drainPollInterval is the interval at which a draining entry checks whether it has
 	// finished.
 	drainPollInterval = 20 * time.Millisecond
@@ -145,15 +150,26 @@
 		MemoryBytes: settings.MemoryBytes, Connections: e.connections.Open, Linger: linger,
 	}, log, metrics.Scope)
 	e.initComponents(platformLog)
-	if e.control, err = peer.ListenTLS(cmp.Or(settings.ControlListenAddress, settings.ControlAddress), e.gossip, credentials); err != nil {
+	control, err := net.Listen("tcp", cmp.Or(settings.ControlListenAddress, settings.ControlAddress))
+	if err != nil {
 		_ = listener.Close()
-		return nil, err
+		return nil, errors.Wrap(err, "listen for control messages")
 	}
+	e.control = peer.Serve(intake.New(tcp.WaitForResources(control, log), controlSettings(settings.MemoryBytes), log, metrics.Scope),
+		e.gossip, credentials, e.bodies.Budget)
 	e.gossip.controlAddress = e.ControlAddress()
 	e.start(list)
 	return e, nil
 }
 
+// controlSettings returns the settings of the listener for control messages.
+func controlSettings(memoryBytes int) intake.Settings {
+	limits := intake.Limits{MemoryBytes: memoryBytes}
+	return intake.Settings{
+		Connections: limits.Connections(controlSocketShare, controlMemoryShare, controlConnectionBytes), HasMessages: true,
+	}
+}
+
 // initComponents creates the parts of the entry that use each other or the platform's log:
 // the dispatcher, the demand recorder, the configuration follower, the gossip, the ledger
 // and issuer of claims, and the HTTP server. The demand recorder and the ledger begin to
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -62,6 +62,9 @@
 	// decides. What has arrived and is not read counts towards the memory of a process on some
 	// platforms.
 	ReceiveBytes int
+	// HasMessages says that the connections are not served by Serve, and carry messages: one is in use
+	// while bytes arrive on it.
+	HasMessages bool
 	// WriteTimeout is the time within which a peer must read each part of a response. 0 means that
 	// there is no limit.
 	WriteTimeout time.Duration
--- a/intake/listener.go
+++ b/intake/listener.go
@@ -262,6 +262,10 @@
 // Read implements net.Conn. It returns errOverhead if a request has too many bytes beside its body.
 func (c *Conn) Read(buffer []byte) (int, error) {
 	n, err := c.Conn.Read(buffer)
+	if c.listener.settings.HasMessages {
+		_ = c.enter(Head)
+		return n, err
+	}
 	c.receivedBytes += n
 	if c.receivedBytes > maxOverheadBytes+maxOverheadRatio*c.bodyBytes && !c.isRefused.Load() {
 		return 0, errOverhead
--- a/peer/client.go
+++ b/peer/client.go
@@ -151,7 +151,7 @@
 		}
 		conn = secured
 	}
-	shared.conn = newConn(context.Background(), conn, ignoreRequests{}, &c.traffic)
+	shared.conn = newConn(context.Background(), conn, newCodec(), ignoreRequests{}, &c.traffic)
 	c.mutex.Lock()
 	closed := c.closed
 	c.mutex.Unlock()
--- a/peer/codec.go
+++ b/peer/codec.go
@@ -8,8 +8,11 @@
 	"encoding/json"
 	"io"
 	"sync"
+	"time"
 
 	"github.com/go-faster/errors"
+
+	"github.com/fuchsiarouter/fuchsiarouter/budget"
 )
 
 const (
@@ -22,6 +25,12 @@
 	// compressionLevel is a level of package flate. Level 1 would ignore the
 	// dictionary.
 	compressionLevel = 4
+	// minReadBytes is the size of the first buffer of a message, maxReadBytes how much of
+	// a message is read at a time.
+	minReadBytes = 4 << 10
+	maxReadBytes = 64 << 10
+	// readWait is how long a message waits for memory.
+	readWait = 1500 * time.Millisecond
 )
 
 // compressionDictionary is the preset dictionary of the compression, with which
@@ -52,7 +61,14 @@
 // lowest bit is set if the message is compressed; the other bits are the length in
 // bytes as sent. A message whose length is above MaxMessageBytes is refused before
 // it is read, and one that decompresses to more while it is decompressed.
-type codec struct{}
+type codec struct {
+	// memory bounds the messages that are being read. drop ends the connection.
+	memory *budget.Budget
+	drop   func()
+}
+
+// newCodec returns a codec without a bound for the memory.
+func newCodec() codec { return codec{memory: budget.New(budget.Settings{}), drop: func() {}} }
 
 // Encode returns the framed bytes of a message, the JSON form of the object. It
 // compresses a message above compressionThresholdBytes, and fails if the JSON is
@@ -85,7 +101,10 @@
 // Decode reads one framed message and decodes its JSON into the object. The buffer
 // grows with the bytes that arrive, so that an announced length alone allocates
 // nothing.
-func Decode(r *bufio.Reader, object any) error {
+func Decode(r *bufio.Reader, object any) error { return newCodec().ReadObject(r, object) }
+
+// ReadObject implements jsonrpc2.ObjectCodec.
+func (c codec) ReadObject(r *bufio.Reader, object any) error {
 	header, err := binary.ReadUvarint(r)
 	if err != nil {
 		return err
@@ -94,7 +113,9 @@
 	if length > MaxMessageBytes {
 		return errors.Errorf("message of %d bytes exceeds the limit of %d bytes", length, MaxMessageBytes)
 	}
-	data, err := io.ReadAll(io.LimitReader(r, int64(length)))
+	hold := c.memory.Begin(time.Now(), c.drop)
+	defer hold.Release()
+	data, err := readAll(io.LimitReader(r, int64(length)), int(length), hold)
 	if err != nil {
 		return err
 	}
@@ -108,7 +129,7 @@
 			return errors.Wrap(err, "decompress message")
 		}
 		// Reading one byte above the limit detects a message that is too long.
-		if data, err = io.ReadAll(io.LimitReader(reader, MaxMessageBytes+1)); err != nil {
+		if data, err = readAll(reader, MaxMessageBytes+1, hold); err != nil {
 			return errors.Wrap(err, "decompress message")
 		}
 		if len(data) > MaxMessageBytes {
@@ -131,5 +152,30 @@
 	return err
 }
 
-// ReadObject implements jsonrpc2.ObjectCodec.
-func (codec) ReadObject(r *bufio.Reader, object any) error { return Decode(r, object) }
+// readAll reads up to limit bytes. The hold gets the room for them, and for the buffer from which they
+// are copied when it grows.
+func readAll(source io.Reader, limit int, hold *budget.Hold) ([]byte, error) {
+	var data []byte
+	held := 0
+	for len(data) < limit {
+		if len(data) == cap(data) {
+			grown := make([]byte, len(data), min(max(minReadBytes, 2*cap(data)), limit))
+			held += cap(grown)
+			if !hold.Await(held, readWait) {
+				return nil, errors.New("no memory for the message")
+			}
+			copy(grown, data)
+			data = grown
+		}
+		n, err := source.Read(data[len(data):min(cap(data), len(data)+maxReadBytes)])
+		data = data[:len(data)+n]
+		hold.Progress(time.Now(), n)
+		if errors.Is(err, io.EOF) {
+			return data, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	return data, nil
+}
--- a/peer/deadline_conn.go
+++ b/peer/deadline_conn.go
@@ -48,8 +48,8 @@
 
 // newConn returns a JSON-RPC connection over conn with the codec and the timeouts of
 // this package. The handler answers the requests of the other side.
-func newConn(ctx context.Context, conn net.Conn, handler jsonrpc2.Handler, traffic *Traffic) *jsonrpc2.Conn {
+func newConn(ctx context.Context, conn net.Conn, codec codec, handler jsonrpc2.Handler, traffic *Traffic) *jsonrpc2.Conn {
 	wrapped := deadlineConn{Conn: conn, idleTimeout: idleTimeout, writeTimeout: writeTimeout, traffic: traffic}
-	stream := jsonrpc2.NewBufferedStream(wrapped, codec{})
+	stream := jsonrpc2.NewBufferedStream(wrapped, codec)
 	return jsonrpc2.NewConn(ctx, stream, handler, jsonrpc2.SetLogger(discardLogger{}))
 }
--- a/peer/server.go
+++ b/peer/server.go
@@ -11,6 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
+	"github.com/fuchsiarouter/fuchsiarouter/budget"
 	"github.com/fuchsiarouter/fuchsiarouter/revision"
 )
 
@@ -56,6 +57,7 @@
 // Server answers control messages on one address.
 type Server struct {
 	listener   net.Listener
+	memory     *budget.Budget
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
 	traffic    Traffic
@@ -78,13 +80,20 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for control messages")
 	}
+	return Serve(listener, handler, credentials, budget.New(budget.Settings{})), nil
+}
+
+// Serve starts a server that accepts the connections of a listener, and closes the
+// listener at its end. The memory bounds the messages that are being read. Credentials
+// are those of ListenTLS.
+func Serve(listener net.Listener, handler Handler, credentials *TLSCredentials, memory *budget.Budget) *Server {
 	if credentials != nil {
 		// The handshake takes place in the first read, within the deadlines of
 		// the connection, so that it does not delay other connections.
 		listener = tls.NewListener(listener, credentials.serverConfig())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
-	server := &Server{listener: listener, cancel: cancel, connections: map[*jsonrpc2.Conn]bool{}}
+	server := &Server{listener: listener, memory: memory, cancel: cancel, connections: map[*jsonrpc2.Conn]bool{}}
 	callSlots := make(chan struct{}, maxCallsInProgress)
 	rpc := jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(
 		func(ctx context.Context, _ *jsonrpc2.Conn, request *jsonrpc2.Request) (any, error) {
@@ -111,7 +120,7 @@
 			server.addConnection(ctx, conn, rpc)
 		}
 	})
-	return server, nil
+	return server
 }
 
 // addConnection serves the requests of a connection until it ends, or closes it at
@@ -123,7 +132,13 @@
 		_ = conn.Close()
 		return
 	}
-	served := newConn(ctx, conn, rpc, &s.traffic)
+	raw := conn
+	if secured, ok := conn.(*tls.Conn); ok {
+		raw = secured.NetConn()
+	}
+	// Closing the inner connection sends nothing and so does not block.
+	messages := codec{memory: s.memory, drop: func() { _ = raw.Close() }}
+	served := newConn(ctx, conn, messages, rpc, &s.traffic)
 	s.connections[served] = true
 	s.goroutines.Go(func() {
 		<-served.DisconnectNotify()
--- a/standin/hostiletest/crowd_test.go
+++ b/standin/hostiletest/crowd_test.go
@@ -4,6 +4,7 @@
 package hostiletest_test
 
 import (
+	"cmp"
 	"io"
 	"net"
 	"sync"
@@ -36,6 +37,8 @@
 	request request
 	// memoryLimit and descriptorLimit are those of the process's settings.
 	memoryLimit, descriptorLimit int
+	// crowdSize is the number of connections, crowdSize if it is 0.
+	crowdSize int
 	// answers reports whether an ordinary request is answered, with a connection of its own.
 	answers func() bool
 }
@@ -45,7 +48,7 @@
 	g := gomega.NewWithT(p.t)
 	end := time.Now().Add(loadTime)
 	var crowd sync.WaitGroup
-	for range crowdSize {
+	for range cmp.Or(p.crowdSize, crowdSize) {
 		crowd.Go(func() { p.useConnections(send, end) })
 	}
 	asked, answered := 0, 0
--- a/standin/hostiletest/product_test.go
+++ b/standin/hostiletest/product_test.go
@@ -1,8 +1,11 @@
 package hostiletest_test
 
 import (
+	"bytes"
 	"context"
+	"encoding/binary"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -12,6 +15,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/fuchsiarouter/fuchsiarouter/document"
+	"github.com/fuchsiarouter/fuchsiarouter/peer"
 	"github.com/fuchsiarouter/fuchsiarouter/settings"
 	"github.com/fuchsiarouter/fuchsiarouter/standin/bench"
 )
@@ -99,3 +103,30 @@
 		}
 	})
 }
+
+// startControlTarget returns the address of an entry for the control messages of other daemons as the
+// target.
+func startControlTarget(t *testing.T) *target {
+	entry, _, answers := startProduct(t)
+	return &target{
+		t: t, pid: entry.PID(), address: entry.Control, answers: answers, memoryLimit: productMemory, descriptorLimit: productDescriptors,
+	}
+}
+
+// TestIdleControlConnections guards against an entry that answers no ordinary request since connections
+// for control messages on which nothing is sent take its descriptors.
+func TestIdleControlConnections(t *testing.T) {
+	startControlTarget(t).run(func(net.Conn, request) {})
+}
+
+// TestUnfinishedControlMessages guards against an entry that exceeds its memory by control messages of
+// the largest size that stop short.
+func TestUnfinishedControlMessages(t *testing.T) {
+	daemon := startControlTarget(t)
+	daemon.crowdSize = 64
+	daemon.run(func(conn net.Conn, _ request) {
+		// The lowest bit of the length says whether the message is compressed.
+		length := binary.AppendUvarint(nil, peer.MaxMessageBytes<<1)
+		_, _ = conn.Write(append(length, bytes.Repeat([]byte(" "), peer.MaxMessageBytes-bytesMissing)...))
+	})
+}
