--- a/intake/bodies.go
+++ b/intake/bodies.go
@@ -64,8 +64,8 @@
 	// bodies. Without the reserve, it holds one body of 4 MiB with the request that is formatted from
 	// it at 136 MB.
 	memoryFloorShare = 0.12
-	// ConnectionBytes is what a connection of a caller holds beside a large body: the read buffer
-	// of headBufferBytes, the write buffer, a body of up to prefetchedBodyBytes with the request
+	// ConnectionBytes is what a connection of a caller holds beside a large body: a read buffer for
+	// heads of 16 KiB, the write buffer, a body of up to prefetchedBodyBytes with the request
 	// that is formatted from it, and the stack of its goroutine. 974 connections that had each carried
 	// a body of 8,000 bytes took 41 MB.
 	ConnectionBytes = 40 << 10
