--- a/intake/intake.go
+++ b/intake/intake.go
@@ -12,7 +12,6 @@
 package intake
 
 import (
-	"net"
 	"time"
 
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
@@ -71,9 +70,3 @@
 	// Timeouts returns the current timeouts. It may be nil.
 	Timeouts func() Timeouts
 }
-
-// connOf returns the connection of a Listener that a handler got, or nil if it is another one.
-func connOf(conn net.Conn) *Conn {
-	own, _ := conn.(*Conn)
-	return own
-}
