statusline: rename to syntax

Change: its name and the imports; no change of behaviour. Measured: go test ./syntax ./exchange passes.

--- a/exchange/response.go
+++ b/exchange/response.go
@@ -11,7 +11,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/fuchsiarouter/fuchsiarouter/statusline"
+	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -62,7 +62,7 @@
 		r.raw = fasthttp.AcquireResponse()
 		r.Header = &r.raw.Header
 		r.Header.SetNoDefaultContentType(true)
-		if err := statusline.Check(r.conn.reader); err != nil {
+		if err := syntax.Check(r.conn.reader); err != nil {
 			return err
 		}
 		if err := r.Header.Read(r.conn.reader); err != nil {
--- a/explanation/explanation.go
+++ b/explanation/explanation.go
@@ -16,7 +16,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/fuchsiarouter/fuchsiarouter/statusline"
+	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -222,7 +222,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return statusline.NewConn(conn), nil
+			return syntax.NewConn(conn), nil
 		},
 		MaxResponseBodySize: maxAnswerBytes, MaxIdemponentCallAttempts: 1, NoDefaultUserAgentHeader: true,
 	}
--- a/loader/fetch.go
+++ b/loader/fetch.go
@@ -13,8 +13,8 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
-	"github.com/fuchsiarouter/fuchsiarouter/statusline"
 	"github.com/fuchsiarouter/fuchsiarouter/supply"
+	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -74,7 +74,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return statusline.NewConn(conn), nil
+			return syntax.NewConn(conn), nil
 		},
 		MaxResponseBodySize:       maxPeerResponseBytes,
 		MaxIdemponentCallAttempts: 1,
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -19,7 +19,7 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
-	"github.com/fuchsiarouter/fuchsiarouter/statusline"
+	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -86,7 +86,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return statusline.NewConn(conn), nil
+			return syntax.NewConn(conn), nil
 		},
 		MaxResponseBodySize:       maxResponseBytes,
 		MaxIdemponentCallAttempts: 1,
--- a/statusline/clients_test.go
+++ b/syntax/clients_test.go
@@ -1,4 +1,4 @@
-package statusline_test
+package syntax_test
 
 import (
 	"io/fs"
@@ -34,9 +34,9 @@
 		for _, client := range []string{"http.Client{", "http.HostClient{", "Header.Read("} {
 			found += strings.Count(source, client) - strings.Count(source, "*"+client)
 		}
-		checks := strings.Count(source, "statusline.NewConn(") + strings.Count(source, "statusline.Check(")
+		checks := strings.Count(source, "syntax.NewConn(") + strings.Count(source, "syntax.Check(")
 		clients += found
-		if strings.Contains(path, "statusline") {
+		if strings.Contains(path, "syntax") {
 			return nil
 		}
 		g.Expect(checks).To(gomega.BeNumerically(">=", found), path)
--- a/statusline/statusline.go
+++ b/syntax/syntax.go
@@ -1,9 +1,9 @@
-// Package statusline rejects HTTP responses whose status is not from 100 to 599.
+// Package syntax rejects HTTP responses whose status is not from 100 to 599.
 //
 // fasthttp takes any three digits for a status, and 000 for 200, its zero value, so the status
 // cannot be checked after a head was read. The clients of this project read heads through Check or
 // Conn.
-package statusline
+package syntax
 
 import (
 	"bufio"
--- a/statusline/statusline_test.go
+++ b/syntax/syntax_test.go
@@ -1,4 +1,4 @@
-package statusline_test
+package syntax_test
 
 import (
 	"bufio"
@@ -12,7 +12,7 @@
 	"github.com/onsi/gomega"
 	"github.com/valyala/fasthttp"
 
-	"github.com/fuchsiarouter/fuchsiarouter/statusline"
+	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 )
 
 // cases are the beginnings of responses and whether the status is valid.
@@ -44,9 +44,9 @@
 		for _, reader := range []io.Reader{strings.NewReader(test.text + rest), iotest.OneByteReader(strings.NewReader(test.text + rest))} {
 			g := gomega.NewWithT(t)
 			buffered := bufio.NewReader(reader)
-			err := statusline.Check(buffered)
+			err := syntax.Check(buffered)
 			if !test.isValid {
-				g.Expect(err).To(gomega.MatchError(statusline.ErrInvalid), test.text)
+				g.Expect(err).To(gomega.MatchError(syntax.ErrInvalid), test.text)
 				continue
 			}
 			g.Expect(err).NotTo(gomega.HaveOccurred(), test.text)
@@ -59,9 +59,9 @@
 // TestCheckLeavesOtherErrors guards against hiding how a connection ended.
 func TestCheckLeavesOtherErrors(t *testing.T) {
 	g := gomega.NewWithT(t)
-	g.Expect(statusline.Check(bufio.NewReader(strings.NewReader("HTTP/1.1 20")))).To(gomega.MatchError(io.EOF))
+	g.Expect(syntax.Check(bufio.NewReader(strings.NewReader("HTTP/1.1 20")))).To(gomega.MatchError(io.EOF))
 	for _, text := range []string{"nonsense\r\n", "HTTP/1.1 \r\n", "HTTP/1.1 2e2 OK\r\n", strings.Repeat("a", 8192)} {
-		g.Expect(statusline.Check(bufio.NewReader(strings.NewReader(text)))).To(gomega.Succeed(), text[:4])
+		g.Expect(syntax.Check(bufio.NewReader(strings.NewReader(text)))).To(gomega.Succeed(), text[:4])
 	}
 }
 
@@ -106,7 +106,7 @@
 						if bytewise {
 							conn = oneByteConn{conn}
 						}
-						return statusline.NewConn(conn), err
+						return syntax.NewConn(conn), err
 					},
 				}
 				do := func() (string, error) {
--- a/transfer/transfer.go
+++ b/transfer/transfer.go
@@ -27,7 +27,7 @@
 
 	"github.com/fuchsiarouter/fuchsiarouter"
 	"github.com/fuchsiarouter/fuchsiarouter/spread"
-	"github.com/fuchsiarouter/fuchsiarouter/statusline"
+	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 	"github.com/fuchsiarouter/fuchsiarouter/upstream"
 	"github.com/fuchsiarouter/fuchsiarouter/weights"
 )
@@ -280,7 +280,7 @@
 		return nil, errors.New("transfer is closed")
 	}
 	t.conns[conn] = struct{}{}
-	return statusline.NewConn(&trackedConn{Conn: conn, onClose: func() {
+	return syntax.NewConn(&trackedConn{Conn: conn, onClose: func() {
 		t.mu.Lock()
 		delete(t.conns, conn)
 		t.mu.Unlock()
--- a/upstream/upstream.go
+++ b/upstream/upstream.go
@@ -23,7 +23,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
-	"github.com/fuchsiarouter/fuchsiarouter/statusline"
+	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -96,7 +96,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return statusline.NewConn(conn), nil
+			return syntax.NewConn(conn), nil
 		},
 		// By default fasthttp retries requests, which could run them twice.
 		MaxIdemponentCallAttempts: 1,
@@ -201,7 +201,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return statusline.NewConn(conn), nil
+			return syntax.NewConn(conn), nil
 		},
 	}
 	return client.DoTimeout(request, response, timeout) == nil
