syntax: reject responses with malformed field names

What callers saw: a response of a server in trouble, with its seal, whose head has a field name with a blank in it, in front of the colon or, as a folded line, at its beginning, partly with that line or with a body that is not the server's.

Cause: the parser of heads, fasthttp, accepts blanks in field names, removes those in front of the colon and joins folded lines, so that Content-Length : 2 and Transfer-Encoding : chunked even set the framing. All readers of responses use it, and nothing behind it sees the name as it arrived.

Change: a Reader checks the bytes of responses before the parser gets them: the status, as before, and that each field name of an informational head, a final head and a trailer is a token with the colon directly behind it. It ends with an error behind the first other byte, so that no parser ever gets the end of the head, and nothing of it is believed. To find trailers and the next response it follows the framing. exchange reads through a Reader, the clients of fasthttp through a Conn, as they did for the status.

Tests: TestCheck is TestStatus now, with the same cases through the Reader; TestCheckLeavesOtherErrors is TestOtherErrors and also compares the bytes. TestClientsCheckStatus is TestClientsCheckResponses; in place of a check in the file it requires that every buffer of a package that reads heads is over a Reader, and it finds functions with a shared client.

--- a/exchange/exchange.go
+++ b/exchange/exchange.go
@@ -18,6 +18,7 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
+	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -187,7 +188,7 @@
 	if socket, ok := raw.(interface{ SetReadBuffer(bytes int) error }); ok {
 		_ = socket.SetReadBuffer(receiveBytes)
 	}
-	return &pooledConn{Conn: raw, target: target, reader: bufio.NewReaderSize(raw, readBufferBytes)}, nil
+	return &pooledConn{Conn: raw, target: target, reader: bufio.NewReaderSize(syntax.NewReader(raw), readBufferBytes)}, nil
 }
 
 // putIdle puts a connection that carries no request back into the pool.
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -11,7 +11,6 @@
 	"github.com/go-faster/errors"
 	"github.com/valyala/fasthttp"
 
-	"github.com/fuchsiarouter/fuchsiarouter/syntax"
 	"github.com/fuchsiarouter/fuchsiarouter/tcp"
 )
 
@@ -62,9 +61,6 @@
 		r.raw = fasthttp.AcquireResponse()
 		r.Header = &r.raw.Header
 		r.Header.SetNoDefaultContentType(true)
-		if err := syntax.Check(r.conn.reader); err != nil {
-			return err
-		}
 		if err := r.Header.Read(r.conn.reader); err != nil {
 			return err
 		}
--- a/standin/hostiletest/crowd_test.go
+++ b/standin/hostiletest/crowd_test.go
@@ -1,6 +1,7 @@
 // Package hostiletest_test runs the daemons as processes beside crowds of callers that do not
 // behave, and checks that each process lives, stays within its memory and descriptors, and answers
-// ordinary requests. Nothing else of this repository should run at the same time.
+// ordinary requests. It also runs an ingress beside servers whose responses are malformed. Nothing else
+// of this repository should run at the same time.
 package hostiletest_test
 
 import (
--- a/syntax/clients_test.go
+++ b/syntax/clients_test.go
@@ -10,11 +10,13 @@
 	"github.com/onsi/gomega"
 )
 
-// TestClientsCheckStatus guards against a client of fasthttp, or a reader of response heads, that
-// does not reject invalid statuses.
-func TestClientsCheckStatus(t *testing.T) {
+// TestClientsCheckResponses guards against a client of fasthttp, or a reader of response heads, that
+// does not reject malformed responses.
+func TestClientsCheckResponses(t *testing.T) {
 	g := gomega.NewWithT(t)
 	clients := 0
+	// readers are the directories of readers of heads, buffers and checked the numbers of their buffers.
+	readers, buffers, checked := map[string]bool{}, map[string]int{}, map[string]int{}
 	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil {
 			return err
@@ -31,17 +33,27 @@
 		}
 		source := string(content)
 		found := 0
-		for _, client := range []string{"http.Client{", "http.HostClient{", "Header.Read("} {
+		for _, client := range []string{"http.Client{", "http.HostClient{"} {
 			found += strings.Count(source, client) - strings.Count(source, "*"+client)
 		}
-		checks := strings.Count(source, "syntax.NewConn(") + strings.Count(source, "syntax.Check(")
 		clients += found
-		if strings.Contains(path, "syntax") {
-			return nil
+		g.Expect(strings.Count(source, "syntax.NewConn(")).To(gomega.BeNumerically(">=", found), path)
+		for _, shared := range []string{"fasthttp.Do", "fasthttp.Get", "fasthttp.Post", "http.DefaultClient", "http.ReadResponse("} {
+			g.Expect(source).NotTo(gomega.ContainSubstring(shared), path)
 		}
-		g.Expect(checks).To(gomega.BeNumerically(">=", found), path)
+		directory := filepath.Dir(path)
+		readers[directory] = readers[directory] || strings.Contains(source, "Header.Read(")
+		buffers[directory] += strings.Count(source, "bufio.NewReader")
+		checked[directory] += strings.Count(source, "bufio.NewReaderSize(syntax.NewReader(")
 		return nil
 	})
 	g.Expect(err).NotTo(gomega.HaveOccurred())
 	g.Expect(clients).To(gomega.BeNumerically(">", 5))
+	g.Expect(readers).To(gomega.HaveKeyWithValue(filepath.Join("..", "exchange"), true))
+	for directory, reads := range readers {
+		if reads {
+			g.Expect(checked[directory]).To(gomega.BeNumerically(">", 0), directory)
+			g.Expect(checked[directory]).To(gomega.Equal(buffers[directory]), directory)
+		}
+	}
 }
--- a/syntax/syntax.go
+++ b/syntax/syntax.go
@@ -1,158 +1,78 @@
-// Package syntax rejects HTTP responses whose status is not from 100 to 599.
+// Package syntax rejects HTTP responses that are not well-formed.
 //
-// fasthttp takes any three digits for a status, and 000 for 200, its zero value, so the status
-// cannot be checked after a head was read. The clients of this project read heads through Check or
-// Conn.
+// fasthttp takes any three digits for a status, and 000 for 200, its zero value. In field names it
+// accepts blanks, which it removes in front of the colon, so that such a field may even set the
+// framing. Neither can be told after a head was read. A Reader checks the bytes of responses before
+// the parser gets them. It requires that
+//   - a status is from 100 to 599,
+//   - a field name, in the head of an informational or final response or in a trailer, is a token
+//     (RFC 9110, section 5.6.2) with the colon directly behind it, which excludes folded lines,
+//   - the line that ends a head or a trailer is a CRLF.
+//
+// All other errors are left to the parser. The clients of this project read responses through a
+// Reader or a Conn.
 package syntax
 
 import (
-	"bufio"
+	"io"
 	"net"
 
 	"github.com/go-faster/errors"
 )
 
-const (
-	// lowest and highest are the bounds of a valid status.
-	lowest, highest = 100, 599
-	// firstFinal is the lowest status of a response that no further one follows.
-	firstFinal = 200
-	// digits is the number of digits of a status.
-	digits = 3
-	// invalidDigit replaces the last digit of an invalid status, so that fasthttp rejects the head.
-	invalidDigit = 'x'
-)
-
-// ErrInvalid reports a response with an invalid status.
-var ErrInvalid = errors.New("the status of the response is not from 100 to 599")
+// ErrInvalid reports a response that is not well-formed.
+var ErrInvalid = errors.New("the response has an invalid status or field name")
 
-// position is a part of the head of a response.
-type position int
-
-const (
-	// beforeLine is before the status line, where fasthttp skips empty lines.
-	beforeLine position = iota
-	inProtocol
-	beforeStatus
-	inStatus
-	// afterStatus is behind the status.
-	afterStatus
-)
-
-// scanner finds the status of a head, byte by byte.
-type scanner struct {
-	position position
-	status   int
-	digits   int
+// Reader reads the responses on a connection, one after the other, and checks them. It ends with
+// ErrInvalid behind the first byte that no well-formed response has, so that a parser never gets the
+// whole head or trailer with that byte.
+type Reader struct {
+	source    io.Reader
+	scanner   scanner
+	isInvalid bool
 }
 
-// next takes the next byte and reports whether it is the last digit of a status.
-func (s *scanner) next(char byte) bool {
-	switch {
-	case s.position == beforeLine && char != '\r' && char != '\n':
-		s.position = inProtocol
-	case s.position == inProtocol && char == ' ':
-		s.position = beforeStatus
-	case s.position == beforeStatus && char != ' ':
-		s.position = inStatus
-	}
-	switch {
-	case s.position >= inProtocol && s.position <= beforeStatus && char == '\n':
-		// fasthttp rejects a line without a status.
-		s.position = afterStatus
-	case s.position == inStatus && (char < '0' || char > '9'):
-		// fasthttp rejects a status that is no number of three digits.
-		s.position = afterStatus
-	case s.position == inStatus:
-		s.status = s.status*10 + int(char-'0')
-		if s.digits++; s.digits == digits {
-			s.position = afterStatus
-			return true
-		}
-	}
-	return false
-}
+// NewReader returns a Reader of a source at the beginning of a response.
+func NewReader(source io.Reader) *Reader { return &Reader{source: source} }
 
-// isValid reports whether the status that was found is valid.
-func (s *scanner) isValid() bool { return s.status >= lowest && s.status <= highest }
-
-// Check waits until the reader has buffered the status of the response that begins there, and
-// returns ErrInvalid if it is not valid. It consumes nothing. Other errors in the status line are
-// left to the parser of the head.
-func Check(reader *bufio.Reader) error {
-	var status scanner
-	for scanned := 0; scanned < reader.Size(); {
-		if _, err := reader.Peek(scanned + 1); err != nil {
-			return errors.Wrap(err, "read status line")
-		}
-		buffered, _ := reader.Peek(reader.Buffered())
-		for _, char := range buffered[scanned:] {
-			switch {
-			case status.next(char) && !status.isValid():
-				return ErrInvalid
-			case status.position == afterStatus:
-				return nil
-			}
-		}
-		scanned = len(buffered)
+// Read implements io.Reader.
+func (r *Reader) Read(buffer []byte) (int, error) {
+	if r.isInvalid {
+		return 0, ErrInvalid
+	}
+	n, err := r.source.Read(buffer)
+	if scanned, ok := r.scanner.scan(buffer[:n]); !ok {
+		r.isInvalid = true
+		return scanned, nil
 	}
-	return nil
+	return n, err
 }
 
 // Conn is the connection of a client that writes a request and then reads its response, one at a
-// time. It changes an invalid status into one that fasthttp rejects like any other bytes that are
-// not a response.
+// time. It reads through a Reader.
 type Conn struct {
 	net.Conn
+	reader *Reader
 	// hasRead is set when bytes were read since the last write.
 	hasRead bool
-	head    scanner
-	// isPast is set once the status of the final response was read.
-	isPast bool
-	// lineBytes is the length of the current line of an informational response, without its end.
-	lineBytes int
 }
 
 // NewConn returns a Conn for a connection on which nothing was sent.
-func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn} }
+func NewConn(conn net.Conn) *Conn { return &Conn{Conn: conn, reader: NewReader(conn)} }
 
-// Write implements net.Conn. After a read, it begins the next request.
+// Write implements net.Conn. After a read, it begins the next request: the response to it is the next
+// one, even if the client has not read the response before as the Reader expects, as with HEAD.
 func (c *Conn) Write(buffer []byte) (int, error) {
 	if c.hasRead {
-		*c = Conn{Conn: c.Conn}
+		c.hasRead = false
+		c.reader.scanner = scanner{}
 	}
 	return c.Conn.Write(buffer)
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(buffer []byte) (int, error) {
-	n, err := c.Conn.Read(buffer)
+	n, err := c.reader.Read(buffer)
 	c.hasRead = c.hasRead || n > 0
-	for index := 0; index < n && !c.isPast; index++ {
-		c.scan(&buffer[index])
-	}
 	return n, err
 }
-
-// scan takes the next byte of a head and changes it if it is the last digit of an invalid status.
-func (c *Conn) scan(char *byte) {
-	if c.head.position != afterStatus {
-		if c.head.next(*char) && !c.head.isValid() {
-			*char = invalidDigit
-		}
-		c.isPast = c.head.position == afterStatus && (c.head.status < lowest || c.head.status >= firstFinal)
-		c.lineBytes = 1
-		return
-	}
-	// The head of an informational response ends with an empty line.
-	switch *char {
-	case '\r':
-	case '\n':
-		if c.lineBytes == 0 {
-			c.head = scanner{}
-		}
-		c.lineBytes = 0
-	default:
-		c.lineBytes++
-	}
-}
--- a/syntax/syntax_test.go
+++ b/syntax/syntax_test.go
@@ -37,31 +37,77 @@
 
 const rest = "\r\nContent-Length: 2\r\n\r\nok"
 
-// TestCheck guards against taking a response with an invalid status for a valid one, however its
+// readers returns readers that return the text whole and byte by byte.
+func readers(text string) []*syntax.Reader {
+	return []*syntax.Reader{syntax.NewReader(strings.NewReader(text)), syntax.NewReader(iotest.OneByteReader(strings.NewReader(text)))}
+}
+
+// TestStatus guards against taking a response with an invalid status for a valid one, however its
 // bytes arrive.
-func TestCheck(t *testing.T) {
+func TestStatus(t *testing.T) {
 	for _, test := range cases {
-		for _, reader := range []io.Reader{strings.NewReader(test.text + rest), iotest.OneByteReader(strings.NewReader(test.text + rest))} {
+		for _, reader := range readers(test.text + rest) {
 			g := gomega.NewWithT(t)
-			buffered := bufio.NewReader(reader)
-			err := syntax.Check(buffered)
+			content, err := io.ReadAll(reader)
 			if !test.isValid {
 				g.Expect(err).To(gomega.MatchError(syntax.ErrInvalid), test.text)
+				g.Expect(test.text).To(gomega.HavePrefix(string(content)))
 				continue
 			}
-			g.Expect(err).NotTo(gomega.HaveOccurred(), test.text)
-			content, err := io.ReadAll(buffered)
 			g.Expect(string(content), err).To(gomega.Equal(test.text + rest))
 		}
 	}
 }
 
-// TestCheckLeavesOtherErrors guards against hiding how a connection ended.
-func TestCheckLeavesOtherErrors(t *testing.T) {
-	g := gomega.NewWithT(t)
-	g.Expect(syntax.Check(bufio.NewReader(strings.NewReader("HTTP/1.1 20")))).To(gomega.MatchError(io.EOF))
-	for _, text := range []string{"nonsense\r\n", "HTTP/1.1 \r\n", "HTTP/1.1 2e2 OK\r\n", strings.Repeat("a", 8192)} {
-		g.Expect(syntax.Check(bufio.NewReader(strings.NewReader(text)))).To(gomega.Succeed(), text[:4])
+// TestOtherErrors guards against hiding how a connection ended, and against rejecting what is left to
+// the parser.
+func TestOtherErrors(t *testing.T) {
+	for _, text := range []string{"HTTP/1.1 20", "nonsense\r\n", "HTTP/1.1 \r\n", "HTTP/1.1 2e2 OK\r\n", strings.Repeat("a", 8192)} {
+		for _, reader := range readers(text) {
+			g := gomega.NewWithT(t)
+			content, err := io.ReadAll(reader)
+			g.Expect(string(content), err).To(gomega.Equal(text))
+		}
+	}
+	reader := syntax.NewReader(iotest.TimeoutReader(iotest.OneByteReader(strings.NewReader("HTTP/1.1 200"))))
+	_, err := io.ReadAll(reader)
+	gomega.NewWithT(t).Expect(err).To(gomega.MatchError(iotest.ErrTimeout))
+}
+
+const tokenBytes = "!#$%&'*+-.^_`|~0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+
+// before are the bytes in front of a field, in heads and trailers of all kinds.
+var before = []string{
+	"HTTP/1.1 200 OK\r\n", "HTTP/1.1 404 Not Found\nContent-Length: 3\r\n", "HTTP/1.1 103 Early Hints\r\nA: b\r\n",
+	"HTTP/1.1 102 Processing\r\n\r\n\r\nHTTP/1.1 503 Busy\r\nRetry-After: 1\r\n",
+	"HTTP/1.1 204 No Content\r\nContent-Length: 9\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 1\r\n\r\n:HTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 3\r\ncontent-type: a\r\n\r\n\n: HTTP/1.1 200 OK\r\n",
+	"HTTP/1.1 200 OK\r\nCONTENT-LENGTH: 3\r\ntransfer-encoding: chunked\r\n\r\n1;a=\" : \"\r\n:\r\n00C\r\n \r\n: 0\r\n\r\n\n\n\r\n0\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: 9999999999999999999999\r\nTransfer-Encoding: chunked\r\n\r\n0;x\r\nContent-Length: 1\r\n",
+}
+
+// TestFieldNames guards against passing on a whole head or trailer with a field whose name is no token,
+// and against rejecting a token.
+func TestFieldNames(t *testing.T) {
+	for _, before := range before {
+		for char := range 256 {
+			text := string([]byte{byte(char)})
+			for index, name := range []string{text + "Name", "Na" + text + "me", "Name" + text} {
+				if char == ':' && index > 0 {
+					continue
+				}
+				for _, reader := range readers(before + name + ": x\r\n\r\n") {
+					g := gomega.NewWithT(t)
+					content, err := io.ReadAll(reader)
+					if strings.Contains(tokenBytes, text) {
+						g.Expect(string(content), err).To(gomega.Equal(before+name+": x\r\n\r\n"), "%q after %q", name, before)
+						continue
+					}
+					g.Expect(err).To(gomega.MatchError(syntax.ErrInvalid), "%q after %q", name, before)
+					g.Expect(before+name+":").To(gomega.HavePrefix(string(content)), "%q after %q", name, before)
+				}
+			}
+		}
 	}
 }
 
