--- a/standin/hostiletest/responses_test.go
+++ b/standin/hostiletest/responses_test.go
@@ -68,13 +68,16 @@
 	"429 Too Many Requests\r\nRetry-After: 2\r\nX-Not-Executed: full",
 }
 
-// framings are fields and bodies that mark the end of a body by its length, by chunks and by the end of
-// the connection. The verb stands for the fields of a trailer.
+// framings are the ends of responses whose body ends by its length, with the last chunk and with the
+// connection. %TRAILER% stands for the fields of a trailer.
 var framings = []string{
-	"Content-Length: 10\r\n\r\nwhole body", "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n5\r\n body\r\n0\r\n%TRAILER%\r\n", "\r\nwhole body",
+	"Content-Length: 10\r\n\r\n" + serverBody,
+	"Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n5\r\n body\r\n0\r\n%TRAILER%\r\n",
+	"\r\n" + serverBody,
 }
 
-// format returns a response with fields in an informational head, in the final one and in a trailer.
+// format returns a response that begins with an outcome and ends as a framing says, with fields in an
+// informational head, in the final one and in the trailer.
 func format(outcome, framing, informational, final, trailer string) string {
 	head := ""
 	if informational != "" {
@@ -101,6 +104,7 @@
 			outcome, framing := outcomes[(char+index)%len(outcomes)], framings[(char+index)%len(framings)]
 			responses = append(responses, format(outcome, framing, "", field, ""), format(outcome, framing, field, "", ""),
 				format(outcomes[char%2], framings[1], "", "", field))
+			// The parser accepts blanks, so they are combined with all outcomes and framings.
 			if char != ' ' {
 				continue
 			}
--- a/syntax/scanner.go
+++ b/syntax/scanner.go
@@ -85,6 +85,7 @@
 			continue
 		case inReason, inValue, inChunkExtension:
 			if s.position == inValue && s.isWord(contentLength) {
+				// The digits are read one by one.
 				break
 			}
 			end := bytes.IndexByte(text[index:], '\n')
