exchange: report how a connection ended before a response

Cause: since the parser is the first to read a response, and reports a reset before its first byte as the end of the connection, in the log too. Change: exchange waits for the first byte itself, as the check of the status did.

--- a/exchange/exchange_test.go
+++ b/exchange/exchange_test.go
@@ -358,6 +358,25 @@
 	}
 }
 
+// TestEndBeforeResponse guards against hiding how a connection ended.
+func TestEndBeforeResponse(t *testing.T) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 100))
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		_ = conn.Close()
+	}()
+	_, err = send(exchange.New(), &testServer{target: exchange.Target{Address: listener.Addr().String(), ID: "i"}})
+	g.Expect(err).To(gomega.MatchError(syscall.ECONNRESET))
+}
+
 // TestAnswerAfterCancel guards against missing a refusal on its way to a request that is cancelled.
 func TestAnswerAfterCancel(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/exchange/response.go
+++ b/exchange/response.go
@@ -61,6 +61,10 @@
 		r.raw = fasthttp.AcquireResponse()
 		r.Header = &r.raw.Header
 		r.Header.SetNoDefaultContentType(true)
+		// fasthttp reports how a connection ends before a response as io.EOF or as its own timeout.
+		if _, err := r.conn.reader.Peek(1); err != nil {
+			return errors.Wrap(err, "read status line")
+		}
 		if err := r.Header.Read(r.conn.reader); err != nil {
 			return err
 		}
