syntax: scan names and values as a whole

Cause: the check is on the way of each response, and took a call for each byte of a name and a comparison of words for each byte of a length. Change: a name is skipped in a loop, and the value of Content-Length is a position of its own. Measured: a response of 8 fields with a body of 2,000 bytes takes 527 ns in place of 1,052, one of 40 chunks 1,753 in place of 2,323 (58 and 45 without the check). go test ./syntax ./exchange ./upstream ./platform passes, and TestFollowsFraming with 20,000 sequences.

--- a/syntax/scanner.go
+++ b/syntax/scanner.go
@@ -38,6 +38,8 @@
 	afterReturn
 	inName
 	inValue
+	// inLength is in the value of Content-Length.
+	inLength
 
 	// inBody is in a body of known length, or in a chunk including the CRLF at its end.
 	inBody
@@ -83,11 +85,22 @@
 				s.endBody()
 			}
 			continue
-		case inReason, inValue, inChunkExtension:
-			if s.position == inValue && s.isWord(contentLength) {
-				// The digits are read one by one.
-				break
+		case beforeField:
+			if isTokenByte[text[index]] {
+				s.position = inName
+				s.wordLength = 0
+				continue
+			}
+		case inName:
+			start := index
+			for index < len(text) && isTokenByte[text[index]] {
+				index++
+			}
+			s.appendToWord(text[start:index]...)
+			if index == len(text) {
+				return index, true
 			}
+		case inReason, inValue, inChunkExtension:
 			end := bytes.IndexByte(text[index:], '\n')
 			if end < 0 {
 				return len(text), true
@@ -102,20 +115,21 @@
 	return len(text), true
 }
 
-// next takes the next byte, which is not in a body, and reports whether a well-formed response may
-// have it.
+// next takes the next byte, which is neither in a body nor of a name, and reports whether a well-formed
+// response may have it.
 func (s *scanner) next(char byte) bool {
 	switch s.position {
 	case beforeStatusLine, inProtocol, beforeStatus, inStatus:
 		return s.nextOfStatus(char)
-	case inReason:
+	case beforeField, afterReturn, inName:
+		return s.nextOfName(char)
+	case inReason, inValue, inLength:
 		if char == '\n' {
 			s.position = beforeField
+		} else if s.position == inLength && char >= '0' && char <= '9' {
+			// Parsers reject a length that is no number, and a second one.
+			s.appendToLength(10, int(char-'0'))
 		}
-	case beforeField, afterReturn, inName:
-		return s.nextOfName(char)
-	case inValue:
-		s.nextOfValue(char)
 	case beforeChunkSize, inChunkSize, inChunkExtension:
 		s.nextOfChunkSize(char)
 	}
@@ -154,59 +168,36 @@
 	return true
 }
 
-// nextOfName takes the next byte at the beginning of a line of a head or trailer, or in the name of a
-// field.
+// nextOfName takes the byte behind the name of a field, or the next one of an empty line, and reports
+// whether a well-formed response may have it there.
 func (s *scanner) nextOfName(char byte) bool {
 	switch {
-	case s.position == afterReturn:
-		if char == '\n' {
-			s.endHead()
-			return true
-		}
-		return false
-	case isTokenByte[char]:
-		if s.position == beforeField {
-			s.position = inName
-			s.wordLength = 0
-		}
-		s.appendToWord(char)
-		return true
 	case s.position == beforeField && char == '\r':
 		s.position = afterReturn
-		return true
+	case s.position == afterReturn && char == '\n':
+		s.endHead()
 	case s.position == inName && char == ':':
 		s.beginValue()
-		return true
+	default:
+		return false
 	}
-	return false
+	return true
 }
 
-// beginValue begins the value of a field.
+// beginValue begins the value of a field. In a trailer, it does not change the framing.
 func (s *scanner) beginValue() {
 	s.position = inValue
 	switch {
 	case s.isTrailer:
-		// A field in a trailer does not change the framing.
-		s.wordLength = 0
 	case s.isWord(contentLength):
 		s.hasLength = true
-	case s.isWord(transferEncoding) && s.isHTTP11:
+		s.position = inLength
+	case s.isHTTP11 && s.isWord(transferEncoding):
 		// Parsers reject all other codings than chunked.
 		s.isChunked = true
 	}
 }
 
-// nextOfValue takes the next byte of the value of a field.
-func (s *scanner) nextOfValue(char byte) {
-	switch {
-	case char == '\n':
-		s.position = beforeField
-	case char >= '0' && char <= '9' && s.isWord(contentLength):
-		// Parsers reject a length that is no number, and a second one.
-		s.appendToLength(10, int(char-'0'))
-	}
-}
-
 // nextOfChunkSize takes the next byte of a line with the size of a chunk.
 func (s *scanner) nextOfChunkSize(char byte) {
 	digit := hexDigit(char)
@@ -265,12 +256,12 @@
 	s.remaining = min(s.remaining*base+digit, maxLength)
 }
 
-// appendToWord appends a byte to the protocol or to the name of a field.
-func (s *scanner) appendToWord(char byte) {
+// appendToWord appends to the protocol or to the name of a field.
+func (s *scanner) appendToWord(text ...byte) {
 	if s.wordLength < len(s.word) {
-		s.word[s.wordLength] = char
+		copy(s.word[s.wordLength:], text)
 	}
-	s.wordLength++
+	s.wordLength += len(text)
 }
 
 // isWord reports whether the protocol or the name of the field is the given one, in any case.
