syntax: read the size of a chunk in a loop

Cause: streams have a chunk for each event, and each digit of its size took a call. Change: the digits are read where names are, from a table.

--- a/syntax/scanner.go
+++ b/syntax/scanner.go
@@ -100,6 +100,15 @@
 			if index == len(text) {
 				return index, true
 			}
+		case beforeChunkSize, inChunkSize:
+			for index < len(text) && hexDigits[text[index]] > 0 {
+				s.position = inChunkSize
+				s.appendToLength(16, hexDigits[text[index]]-1)
+				index++
+			}
+			if index == len(text) {
+				return index, true
+			}
 		case inReason, inValue, inChunkExtension:
 			end := bytes.IndexByte(text[index:], '\n')
 			if end < 0 {
@@ -115,8 +124,8 @@
 	return len(text), true
 }
 
-// next takes the next byte, which is neither in a body nor of a name, and reports whether a well-formed
-// response may have it.
+// next takes the next byte, which is neither in a body nor of a name or of the size of a chunk, and
+// reports whether a well-formed response may have it.
 func (s *scanner) next(char byte) bool {
 	switch s.position {
 	case beforeStatusLine, inProtocol, beforeStatus, inStatus:
@@ -198,13 +207,9 @@
 	}
 }
 
-// nextOfChunkSize takes the next byte of a line with the size of a chunk.
+// nextOfChunkSize takes the byte behind the size of a chunk, or the next one of its line.
 func (s *scanner) nextOfChunkSize(char byte) {
-	digit := hexDigit(char)
 	switch {
-	case s.position != inChunkExtension && digit >= 0:
-		s.position = inChunkSize
-		s.appendToLength(16, digit)
 	case s.position == beforeChunkSize:
 		// Parsers reject a chunk without a size.
 		s.position = unchecked
@@ -277,15 +282,11 @@
 	return table
 }()
 
-// hexDigit returns the value of a hexadecimal digit, or -1.
-func hexDigit(char byte) int {
-	switch {
-	case char >= '0' && char <= '9':
-		return int(char - '0')
-	case char >= 'a' && char <= 'f':
-		return int(char-'a') + 10
-	case char >= 'A' && char <= 'F':
-		return int(char-'A') + 10
+// hexDigits holds the values of hexadecimal digits, plus one.
+var hexDigits = func() (table [256]int) {
+	for value, char := range []byte("0123456789abcdef") {
+		table[char] = value + 1
+		table[bytes.ToUpper([]byte{char})[0]] = value + 1
 	}
-	return -1
-}
+	return table
+}()
