--- a/syntax/scanner.go
+++ b/syntax/scanner.go
@@ -71,7 +71,8 @@
 	remaining int
 }
 
-// scan takes the next bytes. If one of them is in no well-formed response, it returns false and the
+// scan takes the next bytes. It skips bodies, names and values in loops and passes the bytes between
+// them to next. If one of them is in no well-formed response, it returns false and the
 // number of bytes up to and including the first such byte.
 func (s *scanner) scan(text []byte) (int, bool) {
 	for index := 0; index < len(text); {
@@ -282,7 +283,7 @@
 	return table
 }()
 
-// hexDigits holds the values of hexadecimal digits, plus one.
+// hexDigits holds the values of hexadecimal digits, plus one, and 0 for all other bytes.
 var hexDigits = func() (table [256]int) {
 	for value, char := range []byte("0123456789abcdef") {
 		table[char] = value + 1
