review: build the stand-ins of the scripts into bin

Cause: the users' bench empties target when it builds. Change: review/build-2.sh builds into bin/review-2, and review/6/run.sh starts it there. Result: review/6 was not played again after this change of the path.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -3,8 +3,8 @@
 # Needs the build of deploy/system.toml and review/build-2.sh. With TROUBLE=0 the disruption is left out.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
-if [ ! -x target/fuchsiarouterd ] || [ ! -x target/review-2/cases ]; then
+if [ ! -x target/fuchsiarouterd ] || [ ! -x bin/review-2/cases ]; then
 	echo "could not run: build first, see review/build-2.sh"
 	exit 2
 fi
-exec target/review-2/cases restored review/6
+exec bin/review-2/cases restored review/6
--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,5 +3,5 @@
 # standard library, and no network.
 set -euo pipefail
 cd "$(dirname "$0")/standin-2"
-mkdir -p ../../target/review-2
-GOWORK=off GOTOOLCHAIN=local GOFLAGS= go build -o ../../target/review-2/cases .
+mkdir -p ../../bin/review-2
+GOWORK=off GOTOOLCHAIN=local GOFLAGS= go build -o ../../bin/review-2/cases .
