review: an interrupted script leaves no folder behind

Cause: a script that was ended by a signal killed its processes, but left its temporary folder; and a process that was being started at that moment could have stayed.

Change: the end removes the folder and kills what is started later.

--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -11,10 +11,12 @@
 	"time"
 )
 
-// processes holds the processes that were started and have not ended.
+// processes holds the processes that were started and have not ended, and the folder of their files.
 type processes struct {
-	mu   sync.Mutex
-	held map[*os.Process]struct{}
+	mu     sync.Mutex
+	held   map[*os.Process]struct{}
+	folder string
+	ended  bool
 }
 
 var running = processes{held: map[*os.Process]struct{}{}}
@@ -23,6 +25,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.held[process] = struct{}{}
+	if p.ended {
+		_ = process.Kill()
+	}
 }
 
 func (p *processes) remove(process *os.Process) {
@@ -31,13 +36,17 @@
 	delete(p.held, process)
 }
 
-// kill ends all of them.
+// kill ends all of them, also those that are started later, and removes the folder.
 func (p *processes) kill() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ended = true
 	for process := range p.held {
 		_ = process.Kill()
 	}
+	if p.folder != "" {
+		_ = os.RemoveAll(p.folder)
+	}
 }
 
 // front is a machine that runs the ingress role.
@@ -123,6 +132,9 @@
 	if err != nil {
 		return nil, err
 	}
+	running.mu.Lock()
+	running.folder = folder
+	running.mu.Unlock()
 	d := &deployment{folder: folder}
 	for number := 60; number < 250; number++ {
 		candidate := fmt.Sprintf("127.%d.%d", number, os.Getpid()%200+20)
