mirror, ingress: an entry that starts beside a restored registry knows what it lost

Cause: the age of a copy was measured against the registry as it is. A restored registry lacks changes that it has acknowledged, and only a process with a copy from before could tell.

Change: the mirror tracks, beside the age, up to when all acknowledged changes are known, and keys count by that. A read proves it only once the epoch is settled: 2.5 s after its first read, or as another entry or the record settled-epoch tells. An entry that starts in an epoch that is not settled begins with the copy of another entry.

Why it works: with the adopted copy the entry is like one that ran before the restoration; without one it refuses keys until what was lost is written again. In calm the record tells at once that nothing was lost.

Tests: startFleet marks the first epoch as settled, as in a deployment that has run before; TestRestorationLosesRegistrationOfEntry counts registrations only, not that record. No expectation of a test has changed.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -29,7 +29,7 @@
 	// defaultTimeout is the timeout of a request whose route sets none. The timeout that
 	// the caller states, if any, can only be shorter.
 	defaultTimeout = 30 * time.Second
-	// staleConfigurationAge is the age of the copy of the configuration above which a
+	// staleConfigurationAge is the time since the copy had every acknowledged configuration above which a
 	// request without a matching route or API key is not rejected for that. It gets the
 	// retryable result "not ready" instead, since a newer configuration may allow it.
 	staleConfigurationAge = 2500 * time.Millisecond
@@ -62,6 +62,9 @@
 	// configurationAge is the age that the copy of the configuration had at most when the
 	// request arrived.
 	configurationAge time.Duration
+	// acknowledgedAge is the longest time, when the request arrived, since the copy had every
+	// configuration that the registry had acknowledged, also those that a restoration has lost.
+	acknowledgedAge time.Duration
 
 	// fingerprint identifies the request by its content. It is the same when the caller
 	// sends the request again.
@@ -221,6 +224,8 @@
 	if i.rejecting.Load() {
 		return leavingError()
 	}
+	// The age is read before the view, so that the view is never older than the age says.
+	r.acknowledgedAge = i.mirror.AcknowledgedAge()
 	view, age := i.mirror.ViewWithAge()
 	r.configurationAge = age
 	if view.Configuration == nil {
@@ -234,7 +239,7 @@
 // without a query, and what follows from them.
 func (i *Ingress) lookUpRoute(r *request, host, path string) *result.Error {
 	r.route = r.configuration.Route(host, path)
-	stale := r.configurationAge > staleConfigurationAge
+	stale := r.acknowledgedAge > staleConfigurationAge
 	if r.route == nil {
 		if stale {
 			return i.notReady("the configuration is too old to say that there is no route")
@@ -245,8 +250,8 @@
 	if r.configuration.NeedsKey() && !r.route.Public {
 		workspace := r.configuration.Workspace(r.APIKey)
 		switch {
-		case r.configurationAge > i.settings.KeyRevocation-keyRevocationMargin:
-			return i.notReady("the keys are too old")
+		case r.acknowledgedAge > i.settings.KeyRevocation-keyRevocationMargin:
+			return i.notReady("a key may have been revoked since the keys were read")
 		case workspace == nil && stale:
 			return i.notReady("the keys are too old to say that there is none")
 		case workspace == nil:
@@ -380,7 +385,7 @@
 	i.metrics.recordResult(code, took)
 	fields := []zap.Field{
 		zap.String("request-id", r.AttemptID), zap.Int("code", code.Number), zap.String("result", code.Name),
-		zap.Duration("took", took), zap.Duration("waited", r.queueTime), zap.Duration("view-age", r.configurationAge),
+		zap.Duration("took", took), zap.Duration("waited", r.queueTime), zap.Duration("view-age", r.configurationAge), zap.Duration("acknowledged-age", r.acknowledgedAge),
 		zap.Int("attempts", r.attempts),
 	}
 	if r.configuration != nil {
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -179,6 +179,8 @@
 	roster *roster.Roster
 	// fairShares holds what the fair shares of workspaces need beside the scheduler.
 	fairShares fairShares
+	// settlement is what the registered entries say about the epoch of the registry.
+	settlement registeredSettlement
 	// rosterKnown is set once the registered entries were read.
 	rosterKnown bool
 	// declaredVersions holds the declared versions of each model, oldest first.
@@ -274,7 +276,7 @@
 	time.AfterFunc(rosterWait, func() { close(i.rosterWaitOver) })
 	i.roster = roster.New(i.selfEntry())
 	i.mirror = mirror.New(registry, i.readSources, mirror.Settings{
-		RelayWait: relayPollWait, VersionDeadline: settings.VersionDeadline, EvacuationBound: settings.EvacuationBound,
+		RelayWait: relayPollWait, Peers: i.startPeers, VersionDeadline: settings.VersionDeadline, EvacuationBound: settings.EvacuationBound,
 	}, log, i.applyView)
 	if err := i.listen(handlers, metrics); err != nil {
 		i.mirror.Close()
@@ -294,11 +296,7 @@
 // The first call waits until the registered entries were read, for up to rosterWait, so that
 // entries that start together do not all read the registry.
 func (i *Ingress) readSources() []fuchsiarouter.TopicReader {
-	select {
-	case <-i.rosterRead:
-	case <-i.stop:
-	case <-i.rosterWaitOver:
-	}
+	i.awaitRoster()
 	now := time.Now()
 	i.mu.Lock()
 	readers, fallbacks := i.roster.ZoneReaders(now), i.roster.FallbackReaders(now)
@@ -481,7 +479,11 @@
 // of the configuration is recent enough to check API keys.
 func (i *Ingress) isAvailable() bool {
 	view := i.mirror.View()
-	return view.Configuration != nil && len(view.Servers) > 0 && i.mirror.OperatorAge() < i.settings.KeyRevocation-keyRevocationMargin
+	age := i.mirror.OperatorAge()
+	if view.Configuration != nil && view.Configuration.NeedsKey() {
+		age = max(age, i.mirror.AcknowledgedAge())
+	}
+	return view.Configuration != nil && len(view.Servers) > 0 && age < i.settings.KeyRevocation-keyRevocationMargin
 }
 
 // callerAddresses returns the addresses of the entries for callers of a region and an availability
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -99,6 +99,8 @@
 	inFlight    tally.Gauge
 	// configurationAge is the age of the copy of the configuration, in seconds.
 	configurationAge tally.Gauge
+	// acknowledgedAge is the longest time since that copy had every acknowledged configuration, in seconds.
+	acknowledgedAge tally.Gauge
 	// serversLeaving counts the servers that have told this entry that they leave, serverPauses the
 	// pauses that servers have asked it for, and requestsWithheld the requests that were not sent
 	// to a selected server for either reason, or because it may no longer get them where it is.
@@ -147,6 +149,7 @@
 		timeToFirstEvent:   scope.Histogram("first_event_seconds", latencyBuckets),
 		inFlight:           scope.Gauge("requests_in_flight"),
 		configurationAge:   scope.Gauge("view_age_seconds"),
+		acknowledgedAge:    scope.Gauge("view_acknowledged_age_seconds"),
 		serversLeaving:     scope.Counter("servers_leaving"),
 		serverPauses:       scope.Counter("server_pauses"),
 		requestsWithheld:   scope.Counter("requests_withheld"),
@@ -198,6 +201,7 @@
 func (c *requestMetrics) updateGauges(i *Ingress) {
 	c.inFlight.Update(float64(i.inFlight.Load()))
 	c.configurationAge.Update(i.mirror.OperatorAge().Seconds())
+	c.acknowledgedAge.Update(i.mirror.AcknowledgedAge().Seconds())
 	c.evacuatedZones.Update(float64(len(i.mirror.View().EvacuatedZones)))
 	c.serverConnections.Update(float64(i.upstream.OpenConnections()))
 	i.memory.held.Update(float64(i.memory.Used()))
--- a/ingress/status.go
+++ b/ingress/status.go
@@ -339,6 +339,7 @@
 	registeredIn := int64(-1)
 	isRegistered := func() bool { return registeredIn >= i.mirror.Epoch() }
 	for first := true; ; first = false {
+		i.registerSettledEpoch(time.Now())
 		if !isRegistered() {
 			if epoch, err := i.registry.Put(fuchsiarouter.TopicEntries, i.settings.PeerAddress, body); err != nil {
 				i.log.Warn("registration not written", telemetry.Cause(err))
@@ -365,7 +366,7 @@
 			now := time.Now()
 			incomplete := i.roster.LiveCount(now) == 0 || i.roster.IsRelay(now) && i.roster.HasSilentZone(now)
 			i.mu.Unlock()
-			if incomplete || !isRegistered() {
+			if incomplete || !isRegistered() || i.hasUnregisteredSettlement(now) {
 				break
 			}
 		}
@@ -382,7 +383,12 @@
 	}
 	i.mu.Lock()
 	defer i.mu.Unlock()
+	i.settlement.epoch, i.settlement.isRead = batch.Epoch, true
 	for _, record := range batch.Records {
+		if record.Key == settledEpochKey {
+			i.receiveSettledEpoch(record.Value)
+			continue
+		}
 		var entry roster.Entry
 		if err := json.Unmarshal(record.Value, &entry); err != nil || entry.PeerAddress == "" {
 			i.log.Warn("malformed registration ignored", zap.String("key", record.Key), telemetry.Cause(err))
--- a/mirror/copies.go
+++ b/mirror/copies.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
+	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 )
 
 // topicCopies holds the newest record of each key of each topic, for daemons that read
@@ -190,9 +191,9 @@
 
 // readCopy implements Read, and ReadNewest when newest is set.
 func (m *Mirror) readCopy(topic fuchsiarouter.Topic, from fuchsiarouter.Position, wait time.Duration, newest bool) (fuchsiarouter.KeyedBatch, bool) {
-	// The time of the confirmation is read before the records, so the records may be newer
-	// than the age of the batch says, but never older.
-	arrived, confirmed := m.settings.Clock(), m.confirmedAt(topic)
+	// The times are read before the records, so the records may be newer than the ages of the
+	// batch say, but never older.
+	arrived, confirmed, settlement := m.settings.Clock(), m.confirmedAt(topic), m.settlement.state()
 	batch, changed, ok := m.copies.readFrom(topic, from, newest, arrived)
 	if ok && len(batch.Records) == 0 && !batch.Complete && batch.Epoch == from.Epoch && wait > 0 {
 		timer := time.NewTimer(wait)
@@ -202,10 +203,13 @@
 		case <-timer.C:
 		case <-m.closing:
 		}
-		confirmed = m.confirmedAt(topic)
+		confirmed, settlement = m.confirmedAt(topic), m.settlement.state()
 		batch, _, ok = m.copies.readFrom(topic, from, newest, arrived)
 	}
-	batch.Relayed, batch.Age = true, arrived-confirmed
+	batch.Relayed, batch.Age, batch.SettledEpoch = true, arrived-confirmed, settlement.settled
+	if settlement.acknowledgedAt != catalog.UnknownTime {
+		batch.HasAcknowledgedAge, batch.AcknowledgedAge = true, arrived-settlement.acknowledgedAt
+	}
 	return batch, ok
 }
 
--- a/mirror/follow.go
+++ b/mirror/follow.go
@@ -36,6 +36,11 @@
 	declaredAt map[recordID]time.Duration
 	// restoredAt is as in the topicFollower.
 	restoredAt time.Duration
+	// unknownHaveLeft is set if servers that the copy lacks have left before the restoration. It is
+	// for a complete read after that of a peer's copy, which does not tell removals.
+	unknownHaveLeft bool
+	// settledAtSend is the latest epoch that was known to be settled when the read was sent.
+	settledAtSend int64
 	// relayDelay is how long failed reads through other daemons have taken since the copy was
 	// confirmed, 0 if a source has shown since that the registry does not answer.
 	relayDelay time.Duration
@@ -91,6 +96,10 @@
 	// every key instead.
 	next     fuchsiarouter.Position
 	complete bool
+	// hasRead is set after the first successful read.
+	hasRead bool
+	// adopted is set from the adoption of the copy of another daemon to the next successful read.
+	adopted bool
 	// failing is set from a failed read to the next successful one.
 	failing bool
 	// unchangedUntil is as in a topicBatch.
@@ -114,6 +123,7 @@
 func (m *Mirror) follow(f *topicFollower) {
 	f.mirror, f.complete, f.startedAt = m, true, m.settings.Clock()
 	f.unchangedUntil, f.restoredAt, f.restartedAt = catalog.UnknownTime, catalog.UnknownTime, catalog.UnknownTime
+	f.adoptPeerCopy()
 	for m.sleep(f.read()) {
 	}
 }
@@ -189,6 +199,9 @@
 	} else {
 		f.registryFailed = true
 	}
+	if !relayed && f.topic == fuchsiarouter.TopicOperator {
+		f.mirror.settlement.interrupt()
+	}
 	f.selector.markFailed(time.Now(), index)
 	return pause
 }
@@ -205,13 +218,15 @@
 	if !f.registryFailed {
 		batch.relayDelay = f.relayDelay
 	}
-	if batch.Epoch != f.next.Epoch && confirmed >= 0 {
+	if batch.Epoch != f.next.Epoch && f.hasRead {
 		f.restoredAt, f.rereadDue = batch.receivedAt, true
+		batch.unknownHaveLeft = f.adopted
 	}
-	if batch.receivedAt < f.restoredAt+restorationGrace {
-		f.mirror.keepNewer(f.topic, &batch)
+	f.adopted = false
+	if batch.receivedAt < f.restoredAt+removalRetention {
+		f.mirror.keepNewer(f.topic, &batch, batch.receivedAt < f.restoredAt+restorationGrace)
 	}
-	batch.restoredAt = f.restoredAt
+	f.hasRead, batch.restoredAt = true, f.restoredAt
 	f.apply(batch)
 	f.mirror.raiseEpoch(batch.Epoch)
 	// The records are stored before the confirmation: readers take the age of the copy
@@ -226,7 +241,11 @@
 		return
 	}
 	f.confirmed.Store(int64(max(confirmed, batch.confirmedAt())))
-	if until := batch.noLaterRecordAt(wait); until >= f.restoredAt+reregisterGrace {
+	until := batch.noLaterRecordAt(wait)
+	if f.topic == fuchsiarouter.TopicOperator {
+		f.mirror.recordSettlement(&batch, until)
+	}
+	if until >= f.restoredAt+reregisterGrace {
 		// Before that, the absence of a record that a restoration has lost says nothing.
 		f.unchangedUntil = max(f.unchangedUntil, until)
 		if f.topic == fuchsiarouter.TopicOperator {
@@ -258,6 +277,7 @@
 // another epoch, the error is errEarlierEpoch for a relayed read of an earlier one, and
 // errRestored for other reads that are not complete.
 func (f *topicFollower) readTopic(source fuchsiarouter.TopicReader, wait time.Duration) (topicBatch, error) {
+	settledAtSend := f.mirror.SettledEpoch()
 	sent := f.mirror.settings.Clock()
 	var read fuchsiarouter.KeyedBatch
 	var err error
@@ -299,6 +319,7 @@
 	batch := topicBatch{
 		KeyedBatch: read, complete: f.complete || read.Complete, partial: partial, sentAt: sent, receivedAt: received,
 		unchangedUntil: f.unchangedUntil, countStart: f.mirror.countStart.bound(), declaredAt: map[recordID]time.Duration{},
+		settledAtSend: settledAtSend,
 	}
 	if err == nil && read.Relayed && read.Epoch == f.next.Epoch && batch.confirmedAt() <= time.Duration(f.confirmed.Load()) {
 		err = errStale
--- a/mirror/mirror.go
+++ b/mirror/mirror.go
@@ -15,6 +15,10 @@
 // suspended; a relayed read confirms it as of that time minus the age of the other copy.
 // The age of the copy is the time since then.
 //
+// The age of the copy compares it with the registry as it is. A registry that was restored may lack
+// changes that it has acknowledged, so the mirror also tracks up to when all of these are in the copy,
+// see AcknowledgedAge.
+//
 // A declared version is dated by the last moment at which the topic is known to have lacked it, or
 // by a later disturbance of the registry, see countStart.
 package mirror
@@ -108,6 +112,9 @@
 	// epoch is the latest epoch of the registry of which a topic was read.
 	epoch atomic.Int64
 
+	// settlement tracks up to when the copy of the operator's topic has all acknowledged changes.
+	settlement settlement
+
 	// countStart bounds from when the time of versions that the next read returns counts.
 	countStart countStart
 
@@ -139,6 +146,10 @@
 	// RelayWait is how long a read of another daemon's copy waits for new records. When it
 	// is 0, such reads use OperatorWait and ServersInterval, as reads of the registry do.
 	RelayWait time.Duration
+	// Peers returns other daemons whose copies are read at the start, before the sources, and may
+	// wait until they are known. If the epoch of the registry is settled, it returns none. It is
+	// optional.
+	Peers Sources
 	// VersionDeadline is the time after the declaration of a weight version from which no request
 	// may begin on an older one. It counts anew after a disturbance of the registry. If it is 0,
 	// disturbances do not change the dates of versions.
@@ -165,6 +176,7 @@
 	}
 	m := &Mirror{registry: registry, sources: sources, settings: settings, log: log, onChange: onChange, countStart: newCountStart(settings.VersionDeadline), closing: make(chan struct{})}
 	m.evacuations = newEvacuations(settings.EvacuationBound)
+	m.settlement = newSettlement()
 	m.view.Store(&catalog.View{})
 	m.operatorConfirmedAt.Store(int64(-time.Hour))
 	m.serversConfirmedAt.Store(int64(-time.Hour))
--- a/mirror/restore.go
+++ b/mirror/restore.go
@@ -38,13 +38,18 @@
 	}
 }
 
-// keepNewer changes the records of a read within restorationGrace, so that nothing goes back to
-// the state of the backup, or to one that is written again: a record that is older than the one
-// in the copy is replaced by that one, the record of a key that was removed since it was written
-// is left out, and the operator's records that a complete read lacks are added. Servers that are
-// missing are left to serverRegistrations, and evacuations that were withdrawn to applyEvacuations,
-// since all their records are equal.
-func (m *Mirror) keepNewer(topic fuchsiarouter.Topic, read *topicBatch) {
+// keepNewer changes the records of a read after a restoration, so that nothing goes back to the
+// state of the backup, or to one that is written again: a record that is older than the one in the
+// copy is replaced by that one, the record of a key that was removed since it was written is left out,
+// and the operator's records that a complete read lacks are added. Servers that are missing are left
+// to serverRegistrations, and evacuations that were withdrawn to applyEvacuations, since all their
+// records are equal. After restorationGrace, inGrace is not set, and only configurations and declared
+// versions are kept: they have an order and are never withdrawn, and the operator may write them again
+// later.
+func (m *Mirror) keepNewer(topic fuchsiarouter.Topic, read *topicBatch, inGrace bool) {
+	if !inGrace && topic != fuchsiarouter.TopicOperator {
+		return
+	}
 	m.copies.mu.Lock()
 	defer m.copies.mu.Unlock()
 	kept := m.copies.topics[topic]
@@ -54,8 +59,12 @@
 	records, found := make([]fuchsiarouter.KeyedRecord, 0, len(read.Records)), map[string]bool{}
 	for _, record := range read.Records {
 		found[record.Key] = true
-		known := kept.records[record.Key]
+		known, isKnown := kept.records[record.Key]
+		if !isKnown && read.unknownHaveLeft && topic == fuchsiarouter.TopicServers {
+			continue
+		}
 		removed, isRemoved := kept.removed[record.Key]
+		isRemoved = isRemoved && inGrace
 		if isRemoved {
 			known = removed.KeyedRecord
 		}
@@ -70,7 +79,7 @@
 	}
 	if topic == fuchsiarouter.TopicOperator && read.complete {
 		for key, known := range kept.records {
-			if !found[key] && len(known.Value) > 0 {
+			if !found[key] && len(known.Value) > 0 && (inGrace || !m.isEvacuation(topic, known)) {
 				records = append(records, fuchsiarouter.KeyedRecord{Offset: max(read.End-1, 0), Key: key, Value: known.Value})
 			}
 		}
--- a/registry.go
+++ b/registry.go
@@ -60,7 +60,16 @@
 	// Complete is set if a read from a position returns the newest record of every key instead
 	// of the records from there on. Keys that are not in the batch don't exist.
 	Complete bool
-	Records  []KeyedRecord
+	// AcknowledgedAge is set if HasAcknowledgedAge is. It is the time from the last moment up to
+	// which every acknowledged change is known to be in the copy of the daemon that relays the
+	// batch, to the arrival of the read there. It is larger than Age after a restoration of the
+	// registry, which may lack changes that it has acknowledged.
+	AcknowledgedAge    time.Duration
+	HasAcknowledgedAge bool
+	// SettledEpoch is set if Relayed is. It is the latest epoch that the daemon knows to be
+	// settled: what the restoration that began it has lost is written again.
+	SettledEpoch int64
+	Records      []KeyedRecord
 }
 
 // OperatorChange is the decoded content of one record of TopicOperator: a configuration, the
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -43,6 +43,10 @@
 	// arrivedHeader carries the boot time in ns, on the clock of the entry, at which the
 	// read arrived. The client computes the ages of the records from it.
 	arrivedHeader = "Arrived-Ns"
+	// acknowledgedAgeHeader carries the KeyedBatch.AcknowledgedAge in ns, if it is known, and
+	// settledEpochHeader the KeyedBatch.SettledEpoch. Daemons of earlier versions send neither.
+	acknowledgedAgeHeader = "Acknowledged-Age-Ns"
+	settledEpochHeader    = "Settled-Epoch"
 	// compressThreshold is the size in bytes from which a body is compressed. A
 	// configuration of 1,500 routes has 400 KB, which compression reduces to a tenth; an
 	// entry sends it to the other daemons of its availability zone over a link of
@@ -142,6 +146,12 @@
 		return fuchsiarouter.KeyedBatch{}, errors.Wrap(err, "relay: decode batch")
 	}
 	batch := fuchsiarouter.KeyedBatch{Epoch: wire.Epoch, End: wire.End, Relayed: true, Age: time.Duration(age), Complete: wire.Complete}
+	if age, err := strconv.ParseInt(string(response.Header.Peek(acknowledgedAgeHeader)), 10, 64); err == nil {
+		batch.HasAcknowledgedAge, batch.AcknowledgedAge = true, time.Duration(age)
+	}
+	if epoch, err := strconv.ParseInt(string(response.Header.Peek(settledEpochHeader)), 10, 64); err == nil {
+		batch.SettledEpoch = epoch
+	}
 	for _, record := range wire.Records {
 		batch.Records = append(batch.Records, fuchsiarouter.KeyedRecord{
 			Offset: record.Offset, Key: record.Key, Value: record.Value, Age: time.Duration(arrived) - record.Written,
@@ -197,6 +207,10 @@
 		}
 		ctx.Response.Header.Set(ageHeader, strconv.FormatInt(int64(batch.Age), 10))
 		ctx.Response.Header.Set(arrivedHeader, strconv.FormatInt(int64(arrived), 10))
+		ctx.Response.Header.Set(settledEpochHeader, strconv.FormatInt(batch.SettledEpoch, 10))
+		if batch.HasAcknowledgedAge {
+			ctx.Response.Header.Set(acknowledgedAgeHeader, strconv.FormatInt(int64(batch.AcknowledgedAge), 10))
+		}
 		if response.compressed {
 			ctx.Response.Header.SetContentEncoding("gzip")
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -24,6 +24,7 @@
 import (
 	"cmp"
 	"encoding/binary"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"time"
@@ -366,6 +367,29 @@
 	return readers
 }
 
+// maxStartPeers is the number of entries that StartPeers returns. Registrations of entries that have
+// ended remain, so some of them may not answer.
+const maxStartPeers = 16
+
+// StartPeers returns registered entries whose copies of the platform's topics an entry that starts
+// can ask for, live or not: those of the own zone, and others at random.
+func (r *Roster) StartPeers() []Entry {
+	var peers []Entry
+	local := 0
+	for _, peer := range r.sorted {
+		if r.isLocal(peer) {
+			local++
+		}
+		peers = append(peers, peer.Entry)
+	}
+	for _, part := range [][]Entry{peers[:local], peers[local:]} {
+		rand.Shuffle(len(part), func(a, b int) { part[a], part[b] = part[b], part[a] })
+	}
+	// The other zones get half of the places, since a fault may concern the whole own zone.
+	fromZone := min(local, max(maxStartPeers/2, maxStartPeers-(len(peers)-local)))
+	return append(slices.Clone(peers[:fromZone]), peers[local:min(len(peers), local+maxStartPeers-fromZone)]...)
+}
+
 // isBetterReader reports whether a is preferred to b as a reader or a relay for their
 // availability zone: it has more bandwidth or, with the same bandwidth, the lower address.
 func isBetterReader(a, b *Entry) bool {
--- a/standin/platformtest/platformtest_test.go
+++ b/standin/platformtest/platformtest_test.go
@@ -92,7 +92,8 @@
 }
 
 // startFleet starts an ingress, two llm servers and two plain servers, and waits until the
-// ingress is ready. The configuration has version 1 and the API keys k1 and k2.
+// ingress is ready. The configuration has version 1 and the API keys k1 and k2. The first epoch of the
+// store is settled, as in a deployment that has run before.
 func startFleet(t *testing.T) *testFleet { return startFleetWithGrace(t, 3*time.Second) }
 
 // startFleetWithGrace is startFleet with another grace period than 3 s.
@@ -105,6 +106,7 @@
 		peerAddress: allocateAddress(), stopGrace: stopGrace, log: zap.NewNop(), client: &http.Client{Timeout: waitTimeout},
 		region: "r", zone: "z",
 	}
+	store.Put(keyedstore.TopicEntries, "entry.settled-epoch", `{"settled-epoch":1}`)
 	f.publishConfiguration(1, "k1", "k2")
 	for i := range 2 {
 		llm, err := backendserver.New(fmt.Sprint("e", i), backendserver.Behaviour{StreamEvents: 5, EventInterval: 5 * time.Millisecond})
