ingress: requests leave an older version until their stream begins

What callers saw: nothing by itself; engines that send the head of a response before the request has a slot could begin it on an older version after the deadline of the newer one (VERSION).

Cause: the timer that takes a waiting request back ended with the head of the response, but a request begins with its first token.

Change: the requests that wait are checked at each tick until the first byte of the stream, with the versions known by then and on the boot clock, in place of a timer that was set when the request was sent.

Why it works: the check does not depend on the head, on what was known when the request was sent, or on a clock that stands still while the VM is suspended.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -254,7 +254,8 @@
 
 // roundTrip sends the formatted request to a server and reads the head of the response. It returns
 // an error if there is no response. In either case, the attempt is active until releaseServer
-// is called. The arrival of the head counts as the first event of the response.
+// is called. The arrival of the head counts as the first event of the response, but a stream begins to
+// run with the first bytes of its body.
 func (i *Ingress) roundTrip(r *request, server *catalog.Server, text []byte, isHedge bool) (*serverResponse, error) {
 	r.attempts++
 	r.lastServer = server.ID
@@ -263,13 +264,9 @@
 	ctx, cancel := context.WithCancel(r.callerCtx)
 	if r.scheduling.Model != "" {
 		r.versions = i.versionsFor(server.ID, r.scheduling.Model)
-		if timeout, bounded := i.firstEventTimeout(server.ID, r.scheduling.Model); bounded {
-			timer := time.AfterFunc(max(timeout, 0), cancel)
-			defer timer.Stop()
-		}
 	}
 	r.activeAttempt = &activeAttempt{
-		request: r, server: server.ID, cancel: cancel, resendable: r.route.IsIdempotent(), isHedge: isHedge, waiting: true,
+		request: r, server: server.ID, model: r.scheduling.Model, heldVersion: r.versions.held, cancel: cancel, resendable: r.route.IsIdempotent(), isHedge: isHedge, waiting: true,
 		position: r.position, promptParts: r.PromptParts,
 	}
 	i.stallDetector.add(sentAt, r.activeAttempt)
@@ -296,6 +293,9 @@
 	if now := time.Now(); i.stallDetector.recordProgress(now, r.activeAttempt) {
 		i.resumeServer(now, server.ID)
 	}
+	if !isEventStream(httpResponse.Header) {
+		i.stallDetector.recordBegin(r.activeAttempt)
+	}
 	i.recordFirstEvent(r, server.ID, time.Since(sentAt), isSuccess(httpResponse.Header.StatusCode()))
 	return &serverResponse{server: server, http: httpResponse, reply: i.dialect.ParseResponse(httpResponse.Header, r.AttemptID)}, nil
 }
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -30,7 +30,6 @@
 	"go.uber.org/zap"
 
 	"github.com/fuchsiarouter/fuchsiarouter"
-	"github.com/fuchsiarouter/fuchsiarouter/boottime"
 	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 	"github.com/fuchsiarouter/fuchsiarouter/cold"
 	"github.com/fuchsiarouter/fuchsiarouter/exchange"
@@ -62,13 +61,6 @@
 	// which the copy of the API keys may be used, because a request is sent only some time
 	// after the age is checked.
 	keyRevocationMargin = 600 * time.Millisecond
-	// versionSendMargin is subtracted from Settings.VersionDeadline for requests that are
-	// about to be sent, because they may be queued briefly at the server.
-	versionSendMargin = 600 * time.Millisecond
-	// versionCancelMargin is subtracted from Settings.VersionDeadline for requests that
-	// are already queued at a server which still holds the older version: they are
-	// cancelled there.
-	versionCancelMargin = 200 * time.Millisecond
 	// relayPollWait is how long a read of the registry through another entry waits for
 	// new records. A draining server must get no more requests 2 s after it has announced
 	// that it drains; the age of that entry's copy, this wait and the timeout for a
@@ -382,7 +374,7 @@
 }
 
 // runPeriodicTasks runs until the daemon stops. At each tick it enforces the version
-// deadlines, sends or expires queued requests and checks for stalled servers. Once per
+// deadlines, also for requests that wait at servers, sends or expires queued requests and checks for stalled servers. Once per
 // second it also closes expired connections and updates the gauges.
 func (i *Ingress) runPeriodicTasks() {
 	ticker := time.NewTicker(tickInterval)
@@ -399,6 +391,7 @@
 			i.scheduler.Tick(now)
 			coldEvents := i.scheduler.TakeColdEvents()
 			i.mu.Unlock()
+			i.withdrawOutdated(now)
 			i.logColdEvents(coldEvents)
 			i.checkStalls(now)
 			i.memory.Trim(now)
@@ -416,61 +409,6 @@
 	}
 }
 
-// enforceVersionDeadlines makes the scheduler require each declared version whose deadline
-// is near or has passed, so that no request is sent to a server with an older one. The
-// caller holds the lock.
-func (i *Ingress) enforceVersionDeadlines() {
-	now := boottime.Now()
-	for model, targets := range i.declaredVersions {
-		for _, target := range targets {
-			if now-target.DeclaredAt > i.settings.VersionDeadline-versionSendMargin {
-				i.scheduler.RequireVersion(model, target.Version)
-			}
-		}
-	}
-}
-
-// firstEventTimeout returns how long a request may wait at a server for the first event
-// of its response: until versionCancelMargin before the deadline of the first declared
-// version that is newer than the one that the server holds. The duration is negative after
-// that time. The result is false if there is no such version, so that the wait is not
-// bounded.
-func (i *Ingress) firstEventTimeout(server, model string) (time.Duration, bool) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	held := i.scheduler.HeldVersion(time.Now(), server, model)
-	for _, target := range i.declaredVersions[model] {
-		if target.Version > held {
-			return target.DeclaredAt + i.settings.VersionDeadline - versionCancelMargin - boottime.Now(), true
-		}
-	}
-	return 0, false
-}
-
-// attemptVersions are the weight versions that this entry knows when it sends a request for a
-// model to a server.
-type attemptVersions struct {
-	// held is the version that the server holds, 0 if it holds none.
-	held int
-	// newest is the newest declared version, 0 if there is none.
-	newest int
-	// newestDeclaredAt is when the newest version was declared, and sentAt when the request is
-	// sent, both as boot times.
-	newestDeclaredAt, sentAt time.Duration
-}
-
-// versionsFor returns the versions for a request for the model that is sent to the server.
-func (i *Ingress) versionsFor(server, model string) attemptVersions {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	versions := attemptVersions{held: i.scheduler.HeldVersion(time.Now(), server, model), sentAt: boottime.Now()}
-	if declared := i.declaredVersions[model]; len(declared) > 0 {
-		target := declared[len(declared)-1]
-		versions.newest, versions.newestDeclaredAt = target.Version, target.DeclaredAt
-	}
-	return versions
-}
-
 // isReady reports whether callers should send new requests to the entry: it is available
 // and not draining. A draining entry still serves the requests that reach it for a while.
 func (i *Ingress) isReady() bool { return !i.draining.Load() && i.isAvailable() }
--- a/ingress/metrics.go
+++ b/ingress/metrics.go
@@ -107,6 +107,8 @@
 	serversLeaving   tally.Counter
 	serverPauses     tally.Counter
 	requestsWithheld tally.Counter
+	// requestsOutdated counts the requests that were withdrawn from servers with an older version.
+	requestsOutdated tally.Counter
 	// coldServers is the number of servers that are cold or in their slow start, and coldWithheld
 	// counts how often one was left out because of its limit. coldWithheldSeen is the count that
 	// coldWithheld has.
@@ -153,6 +155,7 @@
 		serversLeaving:     scope.Counter("servers_leaving"),
 		serverPauses:       scope.Counter("server_pauses"),
 		requestsWithheld:   scope.Counter("requests_withheld"),
+		requestsOutdated:   scope.Counter("requests_outdated"),
 		evacuatedZones:     scope.Gauge("evacuated_zones"),
 		otherRegionsListed: scope.Counter("directory_other_regions"),
 		explanations:       scope.Counter("explanations"),
