--- a/standin/soak/versionengine.go
+++ b/standin/soak/versionengine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httputil"
@@ -195,6 +196,14 @@
 	return false, false
 }
 
+// sendHead sends the head of the response to a request.
+func (e *versionEngine) sendHead(w http.ResponseWriter, id string) {
+	w.Header().Set("X-Server-Seal", e.id+"."+id)
+	w.Header().Set("X-Weight-Versions", strconv.Itoa(e.staged.Version()))
+	w.Header().Set("Content-Type", "text/event-stream")
+	_ = http.NewResponseController(w).Flush()
+}
+
 // serve runs a request.
 func (e *versionEngine) serve(w http.ResponseWriter, r *http.Request) {
 	arrived, id := time.Now(), r.Header.Get("X-Attempt-Id")
@@ -207,21 +216,14 @@
 	if err != nil {
 		urgency = 5
 	}
-	isHeadSent := false
-	sendHead := func() {
-		if !isHeadSent {
-			isHeadSent = true
-			w.Header().Set("X-Server-Seal", e.id+"."+id)
-			w.Header().Set("X-Weight-Versions", strconv.Itoa(e.staged.Version()))
-			w.Header().Set("Content-Type", "text/event-stream")
-			_ = http.NewResponseController(w).Flush()
-		}
-	}
-	if e.earlyHeads && e.hasRoom() {
-		sendHead()
+	// The server notices that a connection closes only once the body has been read.
+	_, _ = io.Copy(io.Discard, r.Body)
+	isHeadSent := e.earlyHeads && e.hasRoom()
+	if isHeadSent {
+		e.sendHead(w, id)
 	}
 	if acquired, isFull := e.acquire(r.Context(), urgency); !acquired {
-		if isFull {
+		if isFull && !isHeadSent {
 			w.Header().Set("X-Not-Executed", "1")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -239,8 +241,10 @@
 	e.begins = append(e.begins, begin{id, e.id, version, arrived, time.Now()})
 	load := fmt.Sprintf("%d,%d,%d", e.running, len(e.waiting), versionEngineSlots)
 	e.mu.Unlock()
-	w.Header().Set("X-Server-Load", load)
-	sendHead()
+	if !isHeadSent {
+		w.Header().Set("X-Server-Load", load)
+		e.sendHead(w, id)
+	}
 	for event := 1; event <= answerTokens/tokensPerEvent; event++ {
 		if _, err := fmt.Fprintf(w, "id: %d\ndata: %d\n\n", event, event); err != nil {
 			return
