soak, mirror: loaders held past the bound; an epoch is settled only as itself

Besides, a later settled epoch counted as proof for the copy of an earlier one that never was. A read proves what was acknowledged only if its own epoch is settled.

--- a/ingress/handler.go
+++ b/ingress/handler.go
@@ -29,8 +29,8 @@
 	// defaultTimeout is the timeout of a request whose route sets none. The timeout that
 	// the caller states, if any, can only be shorter.
 	defaultTimeout = 30 * time.Second
-	// staleConfigurationAge is the time since the copy had every acknowledged configuration above which a
-	// request without a matching route or API key is not rejected for that. It gets the
+	// staleConfigurationAge is the time since the copy had every acknowledged configuration above
+	// which a request without a matching route or API key is not rejected for that. It gets the
 	// retryable result "not ready" instead, since a newer configuration may allow it.
 	staleConfigurationAge = 2500 * time.Millisecond
 	// drainingRetryAfter is the retry delay for callers of a draining entry that accepts
--- a/ingress/settlement.go
+++ b/ingress/settlement.go
@@ -18,8 +18,8 @@
 
 // registeredSettlement is what the registrations of entries say about the epoch of the registry.
 type registeredSettlement struct {
-	// isRead is set once the registrations were read. epoch is the epoch in which, and settled the
-	// epoch in the record of settledEpochKey.
+	// isRead is set once the registrations were read. epoch is the epoch of that read, and settled
+	// the one that the record of settledEpochKey names.
 	isRead         bool
 	epoch, settled int64
 }
@@ -39,7 +39,7 @@
 	i.awaitRoster()
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if i.settlement.isRead && i.settlement.epoch <= i.settlement.settled {
+	if i.settlement.isRead && i.settlement.epoch == i.settlement.settled {
 		return nil
 	}
 	var peers []fuchsiarouter.TopicReader
--- a/mirror/settlement.go
+++ b/mirror/settlement.go
@@ -80,7 +80,7 @@
 	}
 	s.settled = max(s.settled, settled)
 	switch {
-	case read.Epoch <= settled:
+	case read.Epoch == 0, read.Epoch == settled:
 		s.acknowledgedAt = max(s.acknowledgedAt, until)
 	case read.complete && read.HasAcknowledgedAge:
 		s.acknowledgedAt = max(s.acknowledgedAt, read.sentAt-read.AcknowledgedAge)
@@ -161,27 +161,21 @@
 	}
 	timeout := time.NewTimer(adoptionTimeout)
 	defer timeout.Stop()
-	var best *answer
+	var best answer
 	for range peers {
 		select {
-		case answer := <-answers:
-			if answer.ok && (best == nil || answer.age < best.age) {
-				best = &answer
+		case given := <-answers:
+			if given.ok && (best.peer == nil || given.age < best.age) {
+				best = given
 			}
-			if best != nil && best.age < freshAcknowledgement {
+			if best.peer != nil && best.age < freshAcknowledgement {
 				return best.peer
 			}
 		case <-timeout.C:
-			if best == nil {
-				return nil
-			}
 			return best.peer
 		case <-f.mirror.closing:
 			return nil
 		}
 	}
-	if best == nil {
-		return nil
-	}
 	return best.peer
 }
--- a/standin/soak/versions.go
+++ b/standin/soak/versions.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -19,6 +20,7 @@
 	"github.com/go-faster/errors"
 
 	"github.com/fuchsiarouter/fuchsiarouter/standin/keyedstore"
+	"github.com/fuchsiarouter/fuchsiarouter/standin/link"
 	"github.com/fuchsiarouter/fuchsiarouter/standin/stagedengine"
 )
 
@@ -36,9 +38,15 @@
 	roundLead     = 4 * time.Second
 	// versionCallerTimeout is the deadline of callers.
 	versionCallerTimeout = 6 * time.Second
+	// heldLoaderDivisor is the number of loaders for each that is stopped in a round. heldLoaderLead is
+	// the time from its stop to the first version, and from the bound of that to the end of the stop.
+	heldLoaderDivisor = 5
+	heldLoaderLead    = time.Second
 	// maxReportedBegins bounds the late beginnings that a report describes.
 	maxReportedBegins = 8
 
+	// loaderLinkMbps is the bandwidth of the links of the origin and of the VMs with engines.
+	loaderLinkMbps = 7.3
 	// firstLoaderVM is the index of the first VM with an engine.
 	firstLoaderVM = 16
 
@@ -103,14 +111,17 @@
 	// LatestDate is the longest time by which a daemon has dated a version after its acknowledgement,
 	// negative if all dates are earlier. A late date moves the bound of that daemon.
 	LatestDate time.Duration
+	// LatestLoad is the longest time from the acknowledgement of a version to the moment at which an
+	// engine gets the order to load it or a newer one.
+	LatestLoad time.Duration
 	// LongestWait is the longest time that a request waited at an engine before it began.
 	LongestWait time.Duration
 }
 
 // String formats the report as a single line.
 func (r VersionReport) String() string {
-	return fmt.Sprintf("seed %d: %d versions, %d stops, %d requests, %d served, %d begins, latest date %v, longest wait %v, latest on an older version after %v, %d late and excused, %d late %q",
-		r.Seed, r.Versions, r.Stops, r.Requests, r.Served, r.Begins, r.LatestDate.Round(time.Millisecond), r.LongestWait.Round(time.Millisecond), r.LatestBegin.Round(time.Millisecond), r.Excused, r.Late, r.Violations)
+	return fmt.Sprintf("seed %d: %d versions, %d stops, %d requests, %d served, %d begins, latest load %v, latest date %v, longest wait %v, latest on an older version after %v, %d late and excused, %d late %q",
+		r.Seed, r.Versions, r.Stops, r.Requests, r.Served, r.Begins, r.LatestLoad.Round(time.Millisecond), r.LatestDate.Round(time.Millisecond), r.LongestWait.Round(time.Millisecond), r.LatestBegin.Round(time.Millisecond), r.Excused, r.Late, r.Violations)
 }
 
 // versionFleet holds entries and loaders as processes, engines, the store and the origin of weights.
@@ -122,6 +133,8 @@
 	loaders  []*process
 	engines  []*versionEngine
 	client   *http.Client
+	// cancel ends the link of the origin.
+	cancel context.CancelFunc
 
 	mu sync.Mutex
 	// version is the newest declared version, and acknowledged holds the time of the
@@ -140,7 +153,8 @@
 
 // RunVersions declares versions in series at the load of a day, and stops the only entry of an
 // availability zone by a signal around them. The report lists the requests that began on an older
-// version after the bound. Engines and store, which decide that, run in this process.
+// version after the bound. Engines and store, which decide that, run in this process. Some loaders are
+// stopped past the bound, so that there are engines with the older version.
 func RunVersions(ctx context.Context, settings VersionSettings) (VersionReport, error) {
 	f, err := newVersionFleet(settings)
 	if err != nil {
@@ -182,6 +196,9 @@
 				}
 			})
 		}
+		for _, index := range rng.Perm(len(f.loaders))[:len(f.loaders)/heldLoaderDivisor] {
+			running.Go(func() { f.holdLoader(ctx, f.loaders[index], first) })
+		}
 		for index := range versionsPerRound {
 			if sleep(ctx, time.Until(first.Add(time.Duration(index)*versionInterval))) {
 				f.declareNext()
@@ -264,7 +281,11 @@
 	if f.origin, err = stagedengine.NewOrigin("127.0.0.1:0", versionEnginePieces, versionPieceBytes); err != nil {
 		return nil, errors.Wrap(err, "origin")
 	}
-	store.Put(keyedstore.TopicOperator, "config", fmt.Sprintf(versionConfigurationFormat, versionEngineSlots, versionEnginePieces, versionPieceBytes, f.origin.Address()))
+	originAddress, err := f.limitOrigin()
+	if err != nil {
+		return nil, err
+	}
+	store.Put(keyedstore.TopicOperator, "config", fmt.Sprintf(versionConfigurationFormat, versionEngineSlots, versionEnginePieces, versionPieceBytes, originAddress))
 	f.declareNext()
 	callerPort, readinessPort, directoryPort, ingressPort, loaderPort, enginePort := nextPort(), nextPort(), nextPort(), nextPort(), nextPort(), nextPort()
 	for index := range settings.Engines {
@@ -277,7 +298,7 @@
 		store.Put(keyedstore.TopicServers, engine.id, engine.registration())
 		loader := &process{name: fmt.Sprint("loader-", index), command: "loader"}
 		f.loaders = append(f.loaders, loader)
-		if err := f.writeNode(loader, vm, zone, ingressPort, loaderPort, fmt.Sprintf(`"app":%q,"service":"llm",`, engine.address), 152, 7.3); err != nil {
+		if err := f.writeNode(loader, vm, zone, ingressPort, loaderPort, fmt.Sprintf(`"app":%q,"service":"llm",`, engine.address), 152, loaderLinkMbps); err != nil {
 			return nil, err
 		}
 	}
@@ -305,6 +326,20 @@
 	return f, nil
 }
 
+// limitOrigin starts the link of the origin and returns its address.
+func (f *versionFleet) limitOrigin() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", errors.Wrap(err, "link of the origin")
+	}
+	var ctx context.Context
+	ctx, f.cancel = context.WithCancel(context.Background())
+	context.AfterFunc(ctx, func() { _ = listener.Close() })
+	limited := link.New(link.Options{Target: f.origin.Address(), BytesPerSecond: loaderLinkMbps * 1e6 / 8})
+	go func() { _ = limited.Serve(ctx, listener) }()
+	return listener.Addr().String(), nil
+}
+
 // writeNode writes the node file of a daemon. extra are its further fields.
 func (f *versionFleet) writeNode(p *process, vm int, zone string, firstPort, lastPort int, extra string, memoryMB int, linkMbps float64) error {
 	p.binary = f.settings.Binary
@@ -328,6 +363,7 @@
 	for _, engine := range f.engines {
 		engine.close()
 	}
+	f.cancel()
 	f.origin.Close()
 	f.store.Close()
 }
@@ -354,6 +390,15 @@
 	}
 }
 
+// holdLoader stops a loader by a signal from before the first version of a round until after its bound,
+// so that its engine keeps the older version.
+func (f *versionFleet) holdLoader(ctx context.Context, loader *process, first time.Time) {
+	sleep(ctx, time.Until(first.Add(-heldLoaderLead)))
+	loader.sendSignal(syscall.SIGSTOP)
+	sleep(ctx, time.Until(first.Add(versionBound+heldLoaderLead)))
+	loader.sendSignal(syscall.SIGCONT)
+}
+
 // stopEntry stops an entry by a signal for a duration.
 func (f *versionFleet) stopEntry(ctx context.Context, e *entry, duration time.Duration) {
 	f.mu.Lock()
@@ -425,6 +470,14 @@
 	defer f.mu.Unlock()
 	report.Requests, report.Served = f.requests, f.served
 	for _, engine := range f.engines {
+		for version := 2; version <= f.version; version++ {
+			for _, load := range engine.staged.Loads() {
+				if load.Version >= version {
+					report.LatestLoad = max(report.LatestLoad, load.At.Sub(f.acknowledged[version]))
+					break
+				}
+			}
+		}
 		for _, began := range engine.allBegins() {
 			report.Begins++
 			report.LongestWait = max(report.LongestWait, began.at.Sub(began.arrived))
