--- a/mirror/settlement_test.go
+++ b/mirror/settlement_test.go
@@ -31,29 +31,26 @@
 }
 
 // changedDeployment starts a daemon, changes everything in the registry, among it a key that
-// configuration 2 revokes, and restores the registry from a backup of before 6 s later. It calls
-// between while the registry is down.
-func changedDeployment(t *testing.T, between func()) (registry *memoryRegistry, running *mirror.Mirror, revoked time.Time) {
+// configuration 2 revokes, and restores the registry from a backup of before 6 s later.
+func changedDeployment(t *testing.T) (registry *memoryRegistry, running *mirror.Mirror) {
 	registry = newRegistry()
 	putAll(t, registry, "config", "1", "m", "1")
 	put(t, registry, fuchsiarouter.TopicServers, "drains", readyServer)
 	put(t, registry, fuchsiarouter.TopicServers, "left", readyServer)
 	running = startBeside(registry)
 	time.Sleep(4 * time.Second)
-	revoked = time.Now()
 	putAll(t, registry, "config", "2", "m", "2", "evacuate/z", "1")
 	put(t, registry, fuchsiarouter.TopicServers, "drains", drainingServer)
 	put(t, registry, fuchsiarouter.TopicServers, "left", "")
 	time.Sleep(6 * time.Second)
 	registry.change(func() { registry.down = true })
 	time.Sleep(500 * time.Millisecond)
-	between()
 	registry.restore(fuchsiarouter.TopicOperator, 2)
 	registry.change(func() {
 		registry.records[fuchsiarouter.TopicServers] = registry.records[fuchsiarouter.TopicServers][:2:2]
 		registry.down = false
 	})
-	return registry, running, revoked
+	return registry, running
 }
 
 // TestStartReadsPeerBesideRestoredRegistry guards against a daemon that starts on a backup of the registry and takes its keys, routes, evacuations, versions and servers for the newest although others know better (CONFIG, VERSION, DRAIN).
@@ -73,7 +70,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
-				registry, running, _ := changedDeployment(t, func() {})
+				registry, running := changedDeployment(t)
 				defer running.Close()
 				time.Sleep(test.startsAfter)
 				if test.again {
@@ -116,7 +113,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				g := gomega.NewWithT(t)
-				registry, running, _ := changedDeployment(t, func() {})
+				registry, running := changedDeployment(t)
 				defer running.Close()
 				young := startBeside(registry)
 				defer young.Close()
@@ -144,24 +141,23 @@
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		var isCut atomic.Bool
-		var m *mirror.Mirror
-		first := newRegistry()
-		putAll(t, first, "config", "1")
-		m = startWithSettings(first, mirror.Settings{Clock: clockSince(time.Now(), uptime)}, flakySource{first, &isCut})
+		registry := newRegistry()
+		putAll(t, registry, "config", "1")
+		m := startWithSettings(registry, mirror.Settings{Clock: clockSince(time.Now(), uptime)}, flakySource{registry, &isCut})
 		defer m.Close()
 		time.Sleep(4 * time.Second)
 		g.Expect(m.AcknowledgedAge()).To(gomega.BeNumerically("<", time.Second))
 		isCut.Store(true)
-		putAll(t, first, "config", "2")
+		putAll(t, registry, "config", "2")
 		time.Sleep(6 * time.Second)
-		first.restore(fuchsiarouter.TopicOperator, 1)
+		registry.restore(fuchsiarouter.TopicOperator, 1)
 		isCut.Store(false)
 		for range 20 {
 			time.Sleep(100 * time.Millisecond)
 			g.Expect(m.View().Configuration.Version).To(gomega.Equal(int64(1)))
 			g.Expect(m.AcknowledgedAge()).To(gomega.BeNumerically(">", keyRevocation))
 		}
-		putAll(t, first, "config", "2")
+		putAll(t, registry, "config", "2")
 		time.Sleep(2 * time.Second)
 		g.Expect(m.AcknowledgedAge()).To(gomega.BeNumerically("<", time.Second))
 	})
@@ -171,7 +167,7 @@
 func TestRestartDoesNotWaitInSettledEpoch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
-		registry, running, _ := changedDeployment(t, func() {})
+		registry, running := changedDeployment(t)
 		defer running.Close()
 		for range 100 {
 			g.Expect(running.AcknowledgedAge()).To(gomega.BeNumerically("<", keyRevocation-time.Second))
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -103,3 +103,27 @@
 		g.Expect(ctx.Response.StatusCode()).To(gomega.Equal(status), query)
 	}
 }
+
+// acknowledgedCopy is a fakeCopy that knows up to when it has all acknowledged changes.
+type acknowledgedCopy struct{ *fakeCopy }
+
+func (a acknowledgedCopy) ReadNewest(topic fuchsiarouter.Topic) (fuchsiarouter.KeyedBatch, bool) {
+	batch, found := a.fakeCopy.ReadNewest(topic)
+	batch.HasAcknowledgedAge, batch.AcknowledgedAge, batch.SettledEpoch = true, 7*time.Second, 3
+	return batch, found
+}
+
+// TestAcknowledgedAge guards against a reader that takes a copy for complete although its relay doesn't know whether it is (CONFIG).
+func TestAcknowledgedAge(t *testing.T) {
+	g := gomega.NewWithT(t)
+	unknown := &fakeCopy{written: time.Now(), epoch: 3, value: []byte("v")}
+	batch, err := newClient(t, unknown).ReadNewest(fuchsiarouter.TopicOperator)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(batch.HasAcknowledgedAge).To(gomega.BeFalse())
+	g.Expect(batch.SettledEpoch).To(gomega.BeZero())
+	batch, err = newClient(t, acknowledgedCopy{unknown}).ReadNewest(fuchsiarouter.TopicOperator)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(batch.HasAcknowledgedAge).To(gomega.BeTrue())
+	g.Expect(batch.AcknowledgedAge).To(gomega.Equal(7 * time.Second))
+	g.Expect(batch.SettledEpoch).To(gomega.Equal(int64(3)))
+}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -1,6 +1,7 @@
 package roster_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -104,3 +105,24 @@
 		}
 	}
 }
+
+// TestStartPeers guards against an entry that starts and asks only entries of its own zone, or too few, for what a restored registry has lost (CONFIG).
+func TestStartPeers(t *testing.T) {
+	for _, test := range []struct{ local, remote, wantLocal, wantRemote int }{{20, 20, 8, 8}, {3, 20, 3, 13}, {20, 2, 14, 2}, {1, 1, 1, 1}} {
+		g := gomega.NewWithT(t)
+		r := roster.New(newEntry("own", "a"))
+		for index := range test.local {
+			r.Register(startTime, newEntry(fmt.Sprint("local", index), "a"))
+		}
+		for index := range test.remote {
+			r.Register(startTime, newEntry(fmt.Sprint("remote", index), "b"))
+		}
+		counts, names := map[string]int{}, map[string]bool{}
+		for _, peer := range r.StartPeers() {
+			counts[peer.AvailabilityZone]++
+			names[peer.Name] = true
+		}
+		g.Expect(counts).To(gomega.Equal(map[string]int{"a": test.wantLocal, "b": test.wantRemote}))
+		g.Expect(names).To(gomega.HaveLen(test.wantLocal + test.wantRemote))
+	}
+}
