ingress: the timer of a waiting request ends with the first byte of its stream

The fault of early heads doesn't need the check. The log line and the counter stay. A version that is learned after a request was sent has no timer, as before.

--- a/ingress/attempt.go
+++ b/ingress/attempt.go
@@ -266,9 +266,12 @@
 		r.versions = i.versionsFor(server.ID, r.scheduling.Model)
 	}
 	r.activeAttempt = &activeAttempt{
-		request: r, server: server.ID, model: r.scheduling.Model, heldVersion: r.versions.held, cancel: cancel, resendable: r.route.IsIdempotent(), isHedge: isHedge, waiting: true,
+		request: r, server: server.ID, cancel: cancel, resendable: r.route.IsIdempotent(), isHedge: isHedge, waiting: true,
 		position: r.position, promptParts: r.PromptParts,
 	}
+	if r.scheduling.Model != "" {
+		i.limitWait(r.activeAttempt, r.scheduling.Model)
+	}
 	i.stallDetector.add(sentAt, r.activeAttempt)
 	var sending schedule.Sending
 	httpResponse, err := i.upstream.Send(ctx, exchange.Target{Address: server.Address, ID: server.ID, Incarnation: server.Started},
@@ -287,6 +290,7 @@
 		}, func() bool { return i.stillTakes(r, server) && i.beginSending(server, &sending) })
 	i.endSending(sending)
 	if err != nil {
+		r.activeAttempt.endWait()
 		return nil, err
 	}
 	r.framing = httpResponse.Framing()
@@ -294,7 +298,7 @@
 		i.resumeServer(now, server.ID)
 	}
 	if !isEventStream(httpResponse.Header) {
-		i.stallDetector.recordBegin(r.activeAttempt)
+		r.activeAttempt.endWait()
 	}
 	i.recordFirstEvent(r, server.ID, time.Since(sentAt), isSuccess(httpResponse.Header.StatusCode()))
 	return &serverResponse{server: server, http: httpResponse, reply: i.dialect.ParseResponse(httpResponse.Header, r.AttemptID)}, nil
@@ -474,6 +478,7 @@
 	if r.activeAttempt != nil {
 		i.dropHedge(r.activeAttempt)
 		i.stallDetector.remove(r.activeAttempt)
+		r.activeAttempt.endWait()
 		r.activeAttempt.cancel()
 		r.activeAttempt = nil
 	}
--- a/ingress/ingress.go
+++ b/ingress/ingress.go
@@ -374,8 +374,8 @@
 }
 
 // runPeriodicTasks runs until the daemon stops. At each tick it enforces the version
-// deadlines, also for requests that wait at servers, sends or expires queued requests and
-// checks for stalled servers. Once per second it also closes expired connections and updates the gauges.
+// deadlines, sends or expires queued requests and checks for stalled servers. Once per
+// second it also closes expired connections and updates the gauges.
 func (i *Ingress) runPeriodicTasks() {
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
@@ -391,7 +391,6 @@
 			i.scheduler.Tick(now)
 			coldEvents := i.scheduler.TakeColdEvents()
 			i.mu.Unlock()
-			i.withdrawOutdated(now)
 			i.logColdEvents(coldEvents)
 			i.checkStalls(now)
 			i.memory.Trim(now)
--- a/ingress/stall.go
+++ b/ingress/stall.go
@@ -57,11 +57,8 @@
 	// request is the one that was sent. Its fields that startHedge reads change only while the
 	// attempt is not tracked.
 	request *request
-	// server is the ID of the server that the request was sent to, and model the model that it is
-	// for, empty if there is none.
-	server, model string
-	// heldVersion is the version of the model that the server was known to hold when the request was sent.
-	heldVersion int
+	// server is the ID of the server that the request was sent to.
+	server string
 	// cancel resets the connection, which cancels the request at the server and ends the
 	// attempt with an error.
 	cancel context.CancelFunc
@@ -70,11 +67,8 @@
 	resendable bool
 	// responseBegun is set once a part of the response has arrived.
 	responseBegun bool
-	// hasBegun is set once the server has begun to run the request, see roundTrip.
-	hasBegun bool
-	// isOutdated is set once the request was withdrawn from a server with an older version. Only the
-	// periodic tasks use it.
-	isOutdated bool
+	// waitTimer ends the wait for the begin of the run, nil if it is not bounded.
+	waitTimer *time.Timer
 	// waiting is set while this entry reads from the server. It doesn't while the caller of a
 	// stream is slow to read what has arrived.
 	waiting bool
@@ -130,26 +124,13 @@
 	return resumed
 }
 
-// recordBegin records that the server has begun to run the request of an attempt.
-func (s *stallDetector) recordBegin(attempt *activeAttempt) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	attempt.hasBegun = true
-}
-
-// waitingAttempts returns the attempts whose requests are for a model and have not begun to run.
-func (s *stallDetector) waitingAttempts() []*activeAttempt {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var attempts []*activeAttempt
-	for _, server := range s.servers {
-		for attempt := range server.attempts {
-			if !attempt.hasBegun && attempt.model != "" {
-				attempts = append(attempts, attempt)
-			}
-		}
+// endWait records that the server has begun to run the request of an attempt, or that the attempt, which
+// may be nil, has ended.
+func (a *activeAttempt) endWait() {
+	if a != nil && a.waitTimer != nil {
+		a.waitTimer.Stop()
+		a.waitTimer = nil
 	}
-	return attempts
 }
 
 // markSound marks an attempt as sound. It reports whether it was not marked before.
--- a/ingress/stream.go
+++ b/ingress/stream.go
@@ -71,8 +71,6 @@
 	position streamPosition
 	// hasEvent is set once a whole event of the current server's response has arrived.
 	hasEvent bool
-	// hasBegun is set once a byte of the body of the current server's response has arrived.
-	hasBegun bool
 	// hasMore is set when a lost server had begun an event after the last one that arrived whole.
 	hasMore bool
 	// atEOF is set once the server's response has ended.
@@ -146,9 +144,8 @@
 	}
 	before := len(e.buffered) - e.completeBytes
 	n, err := e.response.http.Read(e.buffered[len(e.buffered):cap(e.buffered)])
-	if n > 0 && !e.hasBegun {
-		e.hasBegun = true
-		e.ingress.stallDetector.recordBegin(e.request.activeAttempt)
+	if n > 0 {
+		e.request.activeAttempt.endWait()
 	}
 	buffered, complete, position := e.buffered[:len(e.buffered)+n], e.completeBytes, e.position
 	// The separator may begin in the bytes of the previous read.
@@ -206,7 +203,7 @@
 // All whole events have been read by then.
 func (e *eventStream) discardPartialEvent() {
 	e.hasMore = e.partialEventBytes() > 0 || e.hasMore && !e.hasEvent
-	e.buffered, e.completeBytes, e.hasEvent, e.hasBegun, e.brokenOff = e.buffered[:0], 0, false, false, nil
+	e.buffered, e.completeBytes, e.hasEvent, e.brokenOff = e.buffered[:0], 0, false, nil
 }
 
 // partialEventBytes returns the number of buffered bytes of an event that has not arrived whole.
--- a/ingress/version.go
+++ b/ingress/version.go
@@ -1,13 +1,11 @@
 package ingress
 
 import (
-	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/fuchsiarouter/fuchsiarouter/boottime"
-	"github.com/fuchsiarouter/fuchsiarouter/catalog"
 )
 
 const (
@@ -58,36 +56,35 @@
 	return versions
 }
 
-// withdrawOutdated cancels the requests that wait at servers with an older version than they may begin
-// on soon. It checks them at every tick with the versions that are known by then, by a clock that also
-// runs while the VM is suspended: a version may be learned after a request was sent, and a timer that was
-// set then would stand still.
-func (i *Ingress) withdrawOutdated(now time.Time) {
-	attempts := i.stallDetector.waitingAttempts()
-	if len(attempts) == 0 {
-		return
-	}
-	// The next tick would be too late for those that are due before it.
-	due := boottime.Now() - i.settings.VersionDeadline + versionCancelMargin + tickInterval
+// firstEventTimeout returns how long a request may wait at a server for the first event
+// of its response: until versionCancelMargin before the deadline of the first declared
+// version that is newer than the one that the server holds. The duration is negative after
+// that time. The result is false if there is no such version, so that the wait is not
+// bounded.
+func (i *Ingress) firstEventTimeout(server, model string) (time.Duration, bool) {
 	i.mu.Lock()
-	outdated := attempts[:0]
-	for _, attempt := range attempts {
-		// A server that loads weights may say that it holds none.
-		held := max(attempt.heldVersion, i.scheduler.HeldVersion(now, attempt.server, attempt.model))
-		isOutdated := slices.ContainsFunc(i.declaredVersions[attempt.model], func(target catalog.DeclaredVersion) bool {
-			return target.Version > held && target.DeclaredAt < due
-		})
-		if isOutdated && !attempt.isOutdated {
-			attempt.isOutdated = true
-			outdated = append(outdated, attempt)
+	defer i.mu.Unlock()
+	held := i.scheduler.HeldVersion(time.Now(), server, model)
+	for _, target := range i.declaredVersions[model] {
+		if target.Version > held {
+			return target.DeclaredAt + i.settings.VersionDeadline - versionCancelMargin - boottime.Now(), true
 		}
 	}
-	i.mu.Unlock()
-	for _, attempt := range outdated {
+	return 0, false
+}
+
+// limitWait cancels an attempt for a model at the end of its firstEventTimeout, unless its request has
+// begun to run before.
+func (i *Ingress) limitWait(attempt *activeAttempt, model string) {
+	timeout, isBounded := i.firstEventTimeout(attempt.server, model)
+	if !isBounded {
+		return
+	}
+	attempt.waitTimer = time.AfterFunc(max(timeout, 0), func() {
 		i.metrics.requestsOutdated.Inc(1)
 		i.requestLog.write("request withdrawn from an older version", []zap.Field{
 			zap.String("request-id", attempt.request.AttemptID), zap.String("server", attempt.server),
 		})
 		attempt.cancel()
-	}
+	})
 }
